--- /dev/null
+++ b/src/rules.cpp
@@ -0,0 +1,651 @@
+// The decision module: every decision, table and tuned value of reedchute stands in this file.
+//
+// How to call it: the interface is src/rules.h. Build a Rules with the Terms that the platform hands out, feed
+// it the facts of a round in order (entry, arrived, resolved, probed, ...), then call decide(now, writer) once;
+// all answers go straight into the writer. An instance shares nothing with any other.
+//
+// The design (docs/design.md): lag weights reads by a line between soft and hard, drains at the read's bound with
+// a re-entry gap, and picks the fewest outstanding per unit of weight. Beside it stand six mechanisms:
+//   1. primary search                   2. probe timing           3. health from outcomes
+//   4. in-flight limit with shedding    5. time-outs and further executions    6. cold share by age
+#include "rules.h"
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+
+namespace reedchute {
+namespace {
+
+// The curve, as shares of the read's bound.
+constexpr double kSoft = 0.25;
+constexpr double kFloor = 0.10;
+constexpr double kReentry = 0.60;     // above the age that a report has when it comes in, or none would return
+constexpr double kSlowStart = 10;     // SLO times (the smallest) over which a returned replica ramps up
+// Primary search.
+constexpr double kSearchGap = 0.1;    // of the workload's SLO time, between two tries at members in turn
+// Probe timing.
+constexpr double kFirstPace = 0.2;    // of the smallest bound, until the reports' period is known
+constexpr double kDrift = 0.01;       // by which a smallest figure rises again at each sample
+constexpr double kLagPace = 0.25;     // of a lagging replica's lag: it can't be fresh much sooner
+constexpr double kSlowestPace = 10;   // smallest bounds between two probes of a store that is wanted
+constexpr double kLead = 1.5;         // measured replicas wanted for each bounded read in flight
+// Health.
+constexpr double kLearn = 0.1;        // weight of one outcome in a running share
+constexpr double kForget = 8;         // SLO times after which a bad share is mostly forgotten
+constexpr double kBlockCap = 8;       // connect time-outs: the longest block
+// In-flight limit.
+constexpr double kFirstLimit = 8;
+constexpr double kCut = 0.8;
+constexpr double kSlowAnswer = 0.6;   // of the SLO time: an answer slower than that cuts the limit
+constexpr double kReadShare = 0.75;   // of the primary's limit that reads may fill
+constexpr double kWorthWaiting = 0.5; // late share from which a late statement still waits for room
+// Time-outs.
+constexpr double kPatience = 3;       // usual times without a word before a store counts as silent
+constexpr double kPatienceCap = 0.5;  // of the SLO time
+constexpr double kFurther = 0.2;      // second copies earned by each statement
+constexpr double kFurtherCap = 16;
+// Cold share.
+constexpr double kColdHeadroom = 0.4; // of the multiple at which a cold store falls over
+constexpr double kColdBurst = 0.25;   // of the window in which that is judged
+
+double unit(std::ranlux24_base& chance) { return (static_cast<double>(chance()) + 0.5) / 16777216.0; }
+
+Span smaller(Span a, Span b) { return a < b ? a : b; }
+Span larger(Span a, Span b) { return a < b ? b : a; }
+
+}  // namespace
+
+Rules::Rules(Terms terms, TimePoint now) : terms_(std::move(terms)), chance_(terms_.seed) {
+  if (terms_.workloads.empty()) throw std::invalid_argument("no workloads are given");
+  if (terms_.tick <= Span{}) throw std::invalid_argument("the tick must be above 0");
+  if (terms_.maxExecutions < 1) throw std::invalid_argument("no execution is allowed");
+  if (!(terms_.coldFrom > 0 && terms_.coldFrom <= 1)) throw std::invalid_argument("the cold share must be in (0, 1]");
+  smallestBound_ = smallestSlo_ = terms_.workloads[0].slo;
+  for (const Workload& w : terms_.workloads) {
+    if (w.slo <= Span{}) throw std::invalid_argument("a workload has no SLO time");
+    if (w.level == Level::bounded && w.bound <= Span{}) throw std::invalid_argument("a bounded read has no bound");
+    smallestSlo_ = smaller(smallestSlo_, w.slo);
+    typical_.push_back(w.slo * 0.25);
+    least_.push_back(w.slo * 0.25);
+  }
+  for (const Workload& w : terms_.workloads)
+    if (w.level == Level::bounded) smallestBound_ = smaller(smallestBound_, w.bound);
+  refresh_ = smallestBound_;
+  reportAge_ = smallestBound_ * kSoft;
+  askBackoff_ = terms_.askEvery * 0.1;
+  if (terms_.mustAsk) askAt_ = now;
+}
+
+// ---- the list -------------------------------------------------------------------------------------------------
+
+void Rules::listBegins(bool whole) {
+  if (whole) std::fill(stores_.inList.begin(), stores_.inList.end(), 0);
+}
+
+void Rules::entry(const Entry& e, TimePoint now) {
+  Stores& S = stores_;
+  while (static_cast<int>(S.group.size()) <= e.store) {
+    S.group.push_back(-1), S.zone.push_back(-1), S.listed.push_back(Listed::up), S.weight.push_back(1);
+    S.started.push_back(kNever), S.inList.push_back(0), S.position.push_back(kNever);
+    S.drained.emplace_back(terms_.workloads.size(), 1);  // unmeasured counts as drained
+    S.returned.emplace_back(terms_.workloads.size(), kNever);
+    S.role.push_back(Role::unknown), S.primaryAt.push_back(kNever), S.replicaAt.push_back(kNever);
+    S.probing.push_back(0), S.probeDue.push_back(kNever);
+    S.goodShare.push_back(1), S.speed.push_back(1), S.heard.push_back(kNever), S.healed.push_back(now);
+    S.blockedUntil.push_back(kNever), S.block.push_back({}), S.down.push_back(0);
+    S.out.push_back(0), S.limit.push_back(kFirstLimit), S.cutAt.push_back(kNever);
+    S.coldBudget.push_back(0), S.coldFilled.push_back(now);
+  }
+  int s = e.store;
+  if (S.group[s] != e.group) {
+    if (S.group[s] >= 0) std::erase(groups_[S.group[s]].members, s);
+    if (static_cast<int>(groups_.size()) <= e.group) groups_.resize(e.group + 1);
+    groups_[e.group].members.push_back(s);
+    S.group[s] = e.group;
+  }
+  S.zone[s] = e.zone;
+  S.weight[s] = e.weight > 0 ? e.weight : 1;
+  S.inList[s] = 1;
+  // Where a vanished store is not bound by the drain rule the list does not prove what is up: health decides.
+  if (e.listed != Listed::gone || terms_.goneBinds) S.listed[s] = e.listed;
+  if (e.started && *e.started > S.started[s]) {
+    S.started[s] = *e.started;
+    S.blockedUntil[s] = kNever, S.block[s] = {}, S.down[s] = 0, S.goodShare[s] = 1;
+  }
+  GroupState& g = groups_[e.group];
+  if (e.primary && e.listed == Listed::up && S.role[s] == Role::unknown && g.primary != s &&
+      (g.primary < 0 || (terms_.roleFollows && (g.primaryListed || !usable(g.primary, now)))))
+    namePrimary(e.group, s, true, now);
+}
+
+void Rules::listEnds(bool asked, TimePoint) {
+  for (std::size_t s = 0; s < stores_.inList.size(); ++s)
+    if (!stores_.inList[s] && terms_.goneBinds) stores_.listed[s] = Listed::gone;
+  if (asked) asking_ = false, askBackoff_ = terms_.askEvery * 0.1;
+}
+
+void Rules::listFailed(TimePoint now) {
+  // Danger: the list's service is small; fronts that all ask again at once keep it from answering any.
+  askAt_ = now + askBackoff_ * (0.5 + unit(chance_));
+  askBackoff_ = smaller(askBackoff_ * 2, terms_.askEvery * 0.5);
+}
+
+// ---- the design: positions, curve, drain, choice ----------------------------------------------------------------
+
+void Rules::learnPosition(int s, TimePoint position, TimePoint now) {
+  if (position <= stores_.position[s]) return;
+  stores_.position[s] = position;
+  Span lag = now - position;
+  for (std::size_t w = 0; w < terms_.workloads.size(); ++w) {
+    const Workload& row = terms_.workloads[w];
+    if (row.level != Level::bounded) continue;
+    if (lag >= row.bound) {
+      stores_.drained[s][w] = 1;
+    } else if (stores_.drained[s][w] && lag < row.bound * kReentry) {
+      stores_.drained[s][w] = 0;
+      stores_.returned[s][w] = now;
+    }
+  }
+}
+
+double Rules::curve(int s, const Workload& w, TimePoint now) const {
+  if (w.level != Level::bounded) return 1;
+  Span lag = now - stores_.position[s], soft = w.bound * kSoft;
+  if (lag <= soft) return 1;
+  return lag >= w.bound ? 0 : 1 - (1 - kFloor) * ((lag - soft) / (w.bound - soft));
+}
+
+// Is the replica known to be fresh enough for this statement, if it is sent now?
+bool Rules::measured(int s, const Stmt& st, TimePoint now) const {
+  const Workload& w = terms_.workloads[st.workload];
+  switch (w.level) {
+    case Level::any: return true;
+    case Level::bounded: return !stores_.drained[s][st.workload] && curve(s, w, now) > 0;
+    case Level::session:
+    case Level::fresh: return stores_.position[s] >= st.needs;
+    case Level::write: return false;
+  }
+  return false;
+}
+
+double Rules::weightFor(int s, int stmt, TimePoint now) const {
+  const Stmt& st = stmts_[stmt];
+  const Workload& w = terms_.workloads[st.workload];
+  double weight = stores_.weight[s] * curve(s, w, now) * warmth(s, now);
+  if (w.level == Level::bounded) {
+    double ramp = (now - stores_.returned[s][st.workload]) / (smallestSlo_ * kSlowStart);
+    weight *= std::clamp(ramp, kFloor, 1.0);
+  }
+  // Danger: quick errors free slots fast and draw more reads; a slow store answers right but late.
+  weight *= stores_.goodShare[s] * stores_.goodShare[s] / std::clamp(stores_.speed[s], 0.5, 10.0);
+  for (const Execution& e : st.executions)
+    if (e.store == s) weight *= kFloor;
+  return std::max(weight, 1e-9);
+}
+
+int Rules::fewest(const std::vector<int>& among, int stmt, TimePoint now) {
+  int best = -1;
+  double bestLoad = 0, tied = 0;
+  for (int s : among) {
+    double weight = weightFor(s, stmt, now), load = stores_.out[s] / weight;
+    if (best < 0 || load < bestLoad) {
+      best = s, bestLoad = load, tied = weight;
+    } else if (load == bestLoad) {
+      tied += weight;
+      if (unit(chance_) * tied < weight) best = s;
+    }
+  }
+  return best;
+}
+
+// The store for a statement, or -1 to hold it.
+int Rules::route(int stmt, TimePoint now) {
+  const Stmt& st = stmts_[stmt];
+  const Workload& w = terms_.workloads[st.workload];
+  if (w.level == Level::write) return routeCurrent(stmt, now);
+  GroupState& g = groups_[st.group];
+  std::vector<int> fit;
+  bool known = false, awaited = false;
+  for (int s : g.members) {
+    if (s == g.primary || !usable(s, now)) continue;
+    awaited |= stores_.probing[s] && !(w.level == Level::bounded && stores_.position[s] > kNever &&
+                                       stores_.drained[s][st.workload]);
+    if (!measured(s, st, now)) continue;
+    known = true;
+    if (room(s, stmt, now)) fit.push_back(s);
+  }
+  if (!fit.empty()) return fewest(fit, stmt, now);
+  // Reads await a probe answer that is under way, but not for long.
+  if (!known && awaited && now - st.arrived < w.slo * kSearchGap) return -1;
+  return routeCurrent(stmt, now);
+}
+
+int Rules::routeCurrent(int stmt, TimePoint now) {
+  const Stmt& st = stmts_[stmt];
+  const Workload& w = terms_.workloads[st.workload];
+  GroupState& g = groups_[st.group];
+  if (terms_.storesCheck && w.level != Level::write && w.level != Level::any && st.tries == 0) {
+    int best = -1;
+    for (int s : g.members) {
+      bool lagging = std::all_of(stores_.drained[s].begin(), stores_.drained[s].end(), [](char d) { return d; });
+      if (s == g.primary || lagging || !usable(s, now) || !room(s, stmt, now)) continue;
+      if (best < 0 || stores_.position[s] > stores_.position[best]) best = s;
+    }
+    if (best >= 0) return best;
+  }
+  if (g.primary >= 0 && usable(g.primary, now)) return room(g.primary, stmt, now) ? g.primary : -1;
+  return w.level == Level::write ? searchTurn(stmt, now) : -1;
+}
+
+// ---- 1. primary search --------------------------------------------------------------------------------------------
+
+void Rules::namePrimary(int g, int s, bool byList, TimePoint now) {
+  GroupState& group = groups_[g];
+  group.primary = s;
+  group.primaryListed = byList;
+  group.primarySince = now;
+}
+
+// `at`: when the store was seen in that role. Answers are of now, reports of the position that they carry.
+void Rules::learnRole(int s, Role role, TimePoint at) {
+  if (role == Role::unknown || stores_.group[s] < 0) return;
+  GroupState& g = groups_[stores_.group[s]];
+  if (role == Role::primary) {
+    if (at <= stores_.primaryAt[s] || at <= stores_.replicaAt[s]) return;
+    stores_.primaryAt[s] = at;
+    stores_.role[s] = role;
+    // Danger: two stores claim the role; the one seen in it last has it.
+    if (g.primary != s && (g.primary < 0 || stores_.primaryAt[g.primary] < at))
+      namePrimary(stores_.group[s], s, false, at);
+    else if (g.primary == s)
+      g.primaryListed = false;
+  } else if (at >= stores_.primaryAt[s]) {  // an older report says nothing about a store promoted since
+    stores_.role[s] = role;
+    stores_.replicaAt[s] = std::max(stores_.replicaAt[s], at);
+    if (g.primary == s) g.primary = -1;
+  }
+}
+
+// While no primary is known or it is silent, writes try members in turn, one at a time for each group.
+int Rules::searchTurn(int stmt, TimePoint now) {
+  Stmt& st = stmts_[stmt];
+  GroupState& g = groups_[st.group];
+  int members = static_cast<int>(g.members.size());
+  if (st.tries >= std::min(members, (terms_.maxExecutions + 1) / 2)) return -1;
+  if (now - g.searched < terms_.workloads[st.workload].slo * kSearchGap) return -1;
+  for (int k = 0; k < members; ++k) {
+    int s = g.members[(g.turn + k) % members];
+    if (!usable(s, now) || !room(s, stmt, now)) continue;
+    g.turn = (g.turn + k + 1) % members;
+    g.searched = now;
+    return s;
+  }
+  return -1;
+}
+
+// ---- 2. probe timing ------------------------------------------------------------------------------------------------
+
+// Reports are renewed at a steady pace: learn it, and the age a report has at the earliest.
+void Rules::learnRefresh(int s, TimePoint position, TimePoint now) {
+  TimePoint before = stores_.position[s];
+  Span age = now - position;
+  if (position <= before) {  // not renewed yet
+    stores_.probeDue[s] = now + refresh_ * kFirstPace;
+    return;
+  }
+  if (age < smallestBound_) {
+    reportAge_ = smaller(reportAge_ * (1 + kDrift), age);
+    if (before > kNever && position - before > smallestBound_ * kFirstPace)
+      refresh_ = smaller(refresh_ * (1 + kDrift), position - before);
+    stores_.probeDue[s] = position + refresh_ + reportAge_ * (1 + kFirstPace);
+  } else {
+    stores_.probeDue[s] = now + smaller(larger(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
+  }
+}
+
+void Rules::probeRound(TimePoint now, Writer& out) {
+  if (!terms_.mayProbe) return;
+  for (GroupState& g : groups_) {
+    bool unplaced = false, lost = g.primary < 0 || !usable(g.primary, now);
+    for (int stmt : g.waiting) unplaced |= terms_.workloads[stmts_[stmt].workload].level == Level::bounded;
+    double inFlight = g.boundedRate * typical_[0].seconds();
+    int fresh = 0;
+    for (int s : g.members) fresh += s != g.primary && now - stores_.position[s] < smallestBound_ * kReentry;
+    bool wanted = unplaced || (g.boundedRate * smallestBound_.seconds() >= 0.5 && fresh < 1 + kLead * inFlight);
+    for (int s : g.members) {
+      bool first = stores_.position[s] == kNever;
+      if (stores_.probing[s] || stores_.listed[s] != Listed::up || now < stores_.probeDue[s]) continue;
+      if (s == g.primary && !lost && !first) continue;
+      if (!usable(s, now) && !lost) continue;
+      if (!first && !wanted && !lost) continue;
+      stores_.probing[s] = 1;
+      stores_.probeDue[s] = now + refresh_;
+      out.probe(s);
+    }
+  }
+}
+
+void Rules::probed(int s, bool ok, const Report& report, TimePoint now) {
+  stores_.probing[s] = 0;
+  if (!ok) {
+    stores_.probeDue[s] = now + smallestBound_ * kSlowestPace;
+    return;
+  }
+  if (report.position) {
+    learnRefresh(s, *report.position, now);
+    learnPosition(s, *report.position, now);
+    if (report.primary) learnRole(s, *report.primary ? Role::primary : Role::replica, *report.position);
+  }
+}
+
+// ---- 3. health from outcomes ------------------------------------------------------------------------------------------
+
+bool Rules::usable(int s, TimePoint now) const {
+  return stores_.listed[s] == Listed::up && stores_.blockedUntil[s] <= now;
+}
+
+void Rules::blockStore(int s, TimePoint now, bool down) {
+  Span first = terms_.connectTimeout;
+  stores_.block[s] = stores_.block[s] > Span{} ? smaller(stores_.block[s] * 2, first * kBlockCap) : first;
+  stores_.blockedUntil[s] = now + stores_.block[s];
+  stores_.down[s] |= down;
+}
+
+void Rules::learnHealth(int s, const Workload& w, const Result& r, TimePoint sent, TimePoint now) {
+  Stores& S = stores_;
+  bool spoke = r.ending == Ending::ok || r.ending == Ending::miss || r.ending == Ending::full ||
+               r.ending == Ending::error;
+  if (spoke) S.heard[s] = now;
+  if (r.ending == Ending::ok || r.ending == Ending::miss) {
+    // Danger: a process that died and answers again is cold long before the list says that it started.
+    if (S.down[s]) S.started[s] = std::max(S.started[s], now), S.down[s] = 0;
+    S.blockedUntil[s] = kNever, S.block[s] = {};
+  }
+  if (r.ending == Ending::ok) {
+    S.goodShare[s] += kLearn * (1 - S.goodShare[s]);
+    std::size_t ix = static_cast<std::size_t>(&w - terms_.workloads.data());
+    S.speed[s] += kLearn * 0.5 * (r.took / typical_[ix] - S.speed[s]);
+    typical_[ix] = typical_[ix] + (smaller(r.took, w.slo) - typical_[ix]) * (kLearn * 0.2);
+    if (r.took > w.slo * kSlowAnswer)
+      cutLimit(s, sent);
+    else if (S.out[s] + 1 >= S.limit[s] * 0.5)
+      S.limit[s] += 1 / S.limit[s];
+  } else if (r.ending == Ending::error) {
+    S.goodShare[s] -= kLearn * S.goodShare[s];
+  } else if (r.ending == Ending::full) {
+    cutLimit(s, sent);
+    if (S.out[s] == 0) blockStore(s, now, false);
+  } else if (r.ending == Ending::connectFailed || r.ending == Ending::reset) {
+    if (S.blockedUntil[s] <= now) blockStore(s, now, true);
+  }
+}
+
+// ---- 4. in-flight limit with shedding -----------------------------------------------------------------------------------
+
+bool Rules::room(int s, int stmt, TimePoint now) const {
+  const Stmt& st = stmts_[stmt];
+  for (const Execution& e : st.executions)
+    if (e.out && e.store == s) return false;
+  bool current = terms_.workloads[st.workload].level == Level::write || terms_.workloads[st.workload].level == Level::fresh;
+  double share = s == groups_[st.group].primary && !current ? kReadShare : 1;
+  if (stores_.out[s] >= std::max(1.0, std::floor(stores_.limit[s] * share))) return false;
+  return warmth(s, now) >= 1 || stores_.coldBudget[s] > 0;
+}
+
+// One cut for all that was sent before the last one: they tell of the same jam.
+void Rules::cutLimit(int s, TimePoint sent) {
+  if (sent < stores_.cutAt[s]) return;
+  stores_.limit[s] = std::max(1.0, stores_.limit[s] * kCut);
+}
+
+double Rules::standing(const Stmt& st, TimePoint now) const {
+  const Workload& w = terms_.workloads[st.workload];
+  double worth = w.importance * (st.overShare ? terms_.overShareWorth : 1);
+  return now + typical_[st.workload] * 0.5 > st.arrived + w.slo ? worth * w.lateShare : worth;
+}
+
+void Rules::dispatch(int g, TimePoint now, Writer& out) {
+  std::vector<int>& waiting = groups_[g].waiting;
+  std::erase_if(waiting, [&](int stmt) { return !stmts_[stmt].open || isOut(stmts_[stmt]); });
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [&](int a, int b) { return standing(stmts_[a], now) > standing(stmts_[b], now); });
+  std::vector<char> stuck(terms_.workloads.size(), 0);
+  std::vector<int> left;
+  for (int stmt : waiting) {
+    Stmt& st = stmts_[stmt];
+    Level level = terms_.workloads[st.workload].level;
+    int s = -1;
+    if (st.notBefore <= now && !stuck[st.workload]) {
+      s = route(stmt, now);
+      if (s >= 0 && !mayRunAgain(st, s, now)) s = -1;
+      if (s < 0 && (level == Level::any || level == Level::bounded)) stuck[st.workload] = 1;
+    }
+    if (s >= 0)
+      send(stmt, s, now, out);
+    else
+      left.push_back(stmt);
+  }
+  waiting = std::move(left);
+}
+
+// A statement that can't do any good any more is answered at once, so that its client may go on.
+void Rules::shed(int g, TimePoint now, Writer& out) {
+  GroupState& group = groups_[g];
+  for (int stmt : group.waiting) {
+    const Stmt& st = stmts_[stmt];
+    const Workload& w = terms_.workloads[st.workload];
+    bool late = now + typical_[st.workload] * 0.5 > st.arrived + w.slo;
+    bool lost = w.level != Level::any && (group.primary < 0 || !usable(group.primary, now));
+    bool hopeless = now + typical_[st.workload] * 0.5 > st.giveUpAt ||
+                    static_cast<int>(st.executions.size()) >= terms_.maxExecutions;
+    if (hopeless || (late && (w.lateShare <= 0 || (!lost && w.lateShare < kWorthWaiting)))) giveUp(stmt, out);
+  }
+  std::erase_if(group.waiting, [&](int stmt) { return !stmts_[stmt].open; });
+}
+
+void Rules::giveUp(int stmt, Writer& out) {
+  Stmt& st = stmts_[stmt];
+  if (!st.open) return;
+  for (std::size_t k = 0; k < st.executions.size(); ++k)
+    if (st.executions[k].out && terms_.mayCancel) out.cancel(stmt, static_cast<int>(k));
+  if (harmless(st)) {
+    Span back = terms_.namesComeBack ? smaller(terms_.maxComeBack, terms_.workloads[st.workload].slo * 0.5) : Span{};
+    out.reject(stmt, back);
+  } else {
+    out.abort(stmt);
+  }
+  st.open = false;
+}
+
+// ---- 5. time-outs and further executions ----------------------------------------------------------------------------------
+
+bool Rules::isOut(const Stmt& st) const {
+  return std::any_of(st.executions.begin(), st.executions.end(), [](const Execution& e) { return e.out; });
+}
+
+// May a client be told that trying again does no harm?
+bool Rules::harmless(const Stmt& st) const {
+  const Workload& w = terms_.workloads[st.workload];
+  if (w.effect == Effect::idempotent) return true;
+  bool ran = std::any_of(st.executions.begin(), st.executions.end(), [](const Execution& e) { return e.mayHaveRun; });
+  return !ran || (w.effect == Effect::deduplicated && w.scope == Scope::everywhere);
+}
+
+// May it be sent to this store now, after all that was sent before?
+bool Rules::mayRunAgain(const Stmt& st, int s, TimePoint now) const {
+  const Workload& w = terms_.workloads[st.workload];
+  if (static_cast<int>(st.executions.size()) >= terms_.maxExecutions) return false;
+  if (!terms_.secondCopies && isOut(st)) return false;
+  if (w.effect == Effect::idempotent) return true;
+  for (const Execution& e : st.executions) {
+    if (!e.mayHaveRun) continue;
+    if (w.effect == Effect::nonIdempotent) return false;  // danger: a second effect
+    if (now + terms_.tick - e.sent >= w.window) return false;  // danger: the store has forgotten the mark
+    if (w.scope == Scope::zone && (s < 0 || stores_.zone[s] != stores_.zone[e.store])) return false;
+    if (w.scope == Scope::group && s >= 0 && stores_.group[s] != stores_.group[e.store]) return false;
+  }
+  return true;
+}
+
+Span Rules::patience(int w) const {
+  return smaller(typical_[w] * kPatience, terms_.workloads[w].slo * kPatienceCap);
+}
+
+void Rules::watchExecutions(TimePoint now, Writer& out) {
+  for (int stmt : open_) {
+    Stmt& st = stmts_[stmt];
+    if (!st.open) continue;
+    // Danger: the client leaves at its time, and an answer after that breaks the rule.
+    if (now + terms_.tick * 2 >= st.giveUpAt) {
+      giveUp(stmt, out);
+      continue;
+    }
+    if (!isOut(st)) continue;
+    const Workload& w = terms_.workloads[st.workload];
+    GroupState& g = groups_[st.group];
+    for (std::size_t k = 0; k < st.executions.size(); ++k) {
+      Execution e = st.executions[k];
+      if (!e.out || e.cancelled) continue;
+      Span age = now - e.sent, wait = patience(st.workload);
+      bool silent = age > wait && now - std::max(stores_.heard[e.store], e.sent) > wait;
+      if (silent && stores_.blockedUntil[e.store] <= now && stores_.blockedUntil[e.store] < e.sent + wait)
+        blockStore(e.store, now, false);
+      bool moved = w.level == Level::write && g.primary >= 0 && g.primary != e.store && g.primarySince > e.sent;
+      bool overdue = w.effect == Effect::idempotent && (silent || age > w.slo * kPatienceCap) && age > wait;
+      if (terms_.mayCancel && (moved || (overdue && silent && !terms_.secondCopies))) {
+        st.executions[k].cancelled = true;
+        out.cancel(stmt, static_cast<int>(k));
+      } else if (overdue && terms_.secondCopies && furtherBudget_ >= 1 && k + 1 == st.executions.size()) {
+        int s = route(stmt, now);
+        if (s < 0 || !mayRunAgain(st, s, now)) continue;
+        furtherBudget_ -= 1;
+        send(stmt, s, now, out);
+        break;
+      }
+    }
+  }
+}
+
+// ---- 6. cold share by age ---------------------------------------------------------------------------------------------------
+
+double Rules::warmth(int s, TimePoint now) const {
+  if (stores_.started[s] == kNever || now - stores_.started[s] >= terms_.coldRamp) return 1;
+  double age = std::max(0.0, (now - stores_.started[s]) / terms_.coldRamp);
+  return terms_.coldFrom + (1 - terms_.coldFrom) * age;
+}
+
+// What this front may send to a cold store, in store seconds a second. Danger: fronts don't see one another, so
+// each keeps to its own part, measured by what it sends to a member of that group on average.
+double Rules::coldRate(int s, TimePoint now) const {
+  const GroupState& g = groups_[stores_.group[s]];
+  double members = std::max<double>(1, static_cast<double>(g.members.size()));
+  return terms_.coldMultiple * kColdHeadroom * warmth(s, now) * g.workRate / members;
+}
+
+void Rules::fillCold(int s, TimePoint now) {
+  if (stores_.group[s] < 0 || warmth(s, now) >= 1) return;
+  double rate = coldRate(s, now), dt = (now - stores_.coldFilled[s]).seconds();
+  stores_.coldBudget[s] = std::min(stores_.coldBudget[s] + rate * dt, rate * terms_.coldWindow.seconds() * kColdBurst);
+  stores_.coldFilled[s] = now;
+}
+
+void Rules::send(int stmt, int s, TimePoint now, Writer& out) {
+  Stmt& st = stmts_[stmt];
+  st.executions.push_back({s, now, true, false, true});
+  ++stores_.out[s];
+  if (warmth(s, now) < 1) stores_.coldBudget[s] -= least_[st.workload].seconds();
+  if (stores_.block[s] > Span{}) stores_.blockedUntil[s] = now + stores_.block[s];  // a trial: one at a time
+  out.send(stmt, s, st.giveUpAt);
+}
+
+// ---- facts and the round ----------------------------------------------------------------------------------------------------
+
+void Rules::arrived(int stmt, const Arrival& a, TimePoint now) {
+  if (static_cast<int>(stmts_.size()) <= stmt) stmts_.resize(stmt + 1);
+  if (static_cast<int>(groups_.size()) <= a.group) groups_.resize(a.group + 1);
+  Stmt& st = stmts_[stmt];
+  st = Stmt{};
+  st.workload = a.workload, st.group = a.group, st.tenant = a.tenant, st.session = a.session;
+  st.open = true, st.arrived = now, st.giveUpAt = a.giveUpAt;
+  const Workload& w = terms_.workloads[a.workload];
+  if (w.level == Level::fresh) st.needs = now;
+  // At the most advanced replica a fresh read is turned away until the log has come; it waits that long first.
+  if (w.level == Level::fresh && terms_.storesCheck) st.notBefore = now + terms_.tick * 4;
+  if (w.level == Level::session && terms_.tokensCarried) {
+    if (a.sinceWrite && *a.sinceWrite > Span{}) st.needs = now - *a.sinceWrite + terms_.tick;
+  } else if (w.level == Level::session) {
+    auto it = sessions_.find(a.session);
+    st.needs = it == sessions_.end() ? sessionFloor_ : it->second;
+  }
+  GroupState& g = groups_[a.group];
+  double tau = terms_.coldRamp.seconds() * 0.25, fade = std::exp(-std::max(0.0, (now - std::max(g.rated, now - Span{100'000'000})).seconds()) / tau);
+  g.rated = now;
+  g.workRate = g.workRate * fade + least_[a.workload].seconds() / tau;
+  g.boundedRate = g.boundedRate * fade + (w.level == Level::bounded ? 1 / tau : 0);
+  furtherBudget_ = std::min(kFurtherCap, furtherBudget_ + kFurther);
+  open_.push_back(stmt);
+  g.waiting.push_back(stmt);
+}
+
+void Rules::resolved(int stmt, const Result& r, TimePoint now) {
+  Stmt& st = stmts_[stmt];
+  Execution& e = st.executions[r.execution];
+  const Workload& w = terms_.workloads[st.workload];
+  if (e.out) --stores_.out[e.store];
+  e.out = false;
+  e.mayHaveRun = !(r.ending == Ending::full || r.ending == Ending::connectFailed || r.ending == Ending::moot ||
+                   r.ending == Ending::miss);
+  learnRole(e.store, r.ending == Ending::miss && w.level == Level::write ? Role::replica : r.role, now);
+  if (r.position && r.role == Role::replica) learnPosition(e.store, *r.position, now);
+  learnHealth(e.store, w, r, e.sent, now);
+  if (r.ending == Ending::ok) {
+    least_[st.workload] = smaller(least_[st.workload] * (1 + kDrift), r.took * 0.5 + least_[st.workload] * 0.5);
+    if (w.level == Level::write && r.position && !terms_.tokensCarried) {
+      TimePoint& last = sessions_.try_emplace(st.session, kNever).first->second;
+      last = std::max(last, *r.position);
+    }
+  }
+  if (r.report.position) learnPosition(e.store, *r.report.position, now);
+  if (r.closed) st.open = false;
+  if (!st.open) return;
+  if (r.ending == Ending::miss) ++st.tries;
+  if (r.ending == Ending::error || r.ending == Ending::full)
+    st.notBefore = now + terms_.tick * static_cast<double>(st.executions.size() - 1);
+  if (!isOut(st)) groups_[st.group].waiting.push_back(stmt);
+}
+
+void Rules::gone(int stmt) { stmts_[stmt].open = false; }
+
+void Rules::woken() { wakeAt_ = kNever; }
+
+void Rules::decide(TimePoint now, Writer& out) {
+  if (terms_.mustAsk && askAt_ > kNever && askAt_ <= now) {
+    askAt_ = kNever;
+    out.watchList();
+  }
+  for (std::size_t s = 0; s < stores_.group.size(); ++s) {
+    fillCold(static_cast<int>(s), now);
+    double fade = 1 - std::exp(-((now - stores_.healed[s]) / (smallestSlo_ * kForget)));
+    stores_.goodShare[s] += fade * (1 - stores_.goodShare[s]);
+    stores_.speed[s] += fade * (1 - stores_.speed[s]);
+    stores_.healed[s] = now;
+  }
+  watchExecutions(now, out);
+  for (std::size_t g = 0; g < groups_.size(); ++g) {
+    std::vector<int>& waiting = groups_[g].waiting;
+    for (int stmt : waiting)
+      if (stmts_[stmt].open && !isOut(stmts_[stmt]) && !mayRunAgain(stmts_[stmt], -1, now)) giveUp(stmt, out);
+    dispatch(static_cast<int>(g), now, out);
+    shed(static_cast<int>(g), now, out);
+  }
+  std::erase_if(open_, [&](int stmt) { return !stmts_[stmt].open; });
+  probeRound(now, out);
+  if (wakeAt_ <= now) {
+    Span pace = terms_.tick * (open_.empty() ? 8 : 2);
+    wakeAt_ = now + pace;
+    out.wake(pace);
+  }
+}
+
+}  // namespace reedchute
--- /dev/null
+++ b/src/rules.h
@@ -0,0 +1,258 @@
+// The interface of the decision module and the types of its state. All decisions stand in rules.cpp.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+
+namespace reedchute {
+
+enum class Level { any, bounded, session, fresh, write };
+enum class Effect { idempotent, deduplicated, nonIdempotent };
+enum class Scope { everywhere, zone, group };
+enum class Listed { up, draining, gone };
+enum class Role { unknown, primary, replica };
+enum class Ending { ok, miss, full, error, timeout, connectFailed, reset, cancelled, moot };
+
+// A row a workload.
+struct Workload {
+  Level level = Level::any;
+  Effect effect = Effect::nonIdempotent;
+  Scope scope = Scope::group;
+  Span bound;   // how old a bounded read's data may be
+  Span slo;     // the SLO time
+  Span window;  // how long a repeat is dropped
+  double importance = 1;
+  double lateShare = 0;  // of the importance, once the SLO time has passed
+};
+
+struct Tenant {
+  double quota = 0;  // statements a second within its share, over all fronts
+};
+
+// What an instance is told when it starts.
+struct Terms {
+  std::uint64_t seed = 0;
+  int fronts = 1;
+  int maxExecutions = 1;
+  int zone = -1;
+  Span tick;
+  TimePoint origin;  // positions count from here
+  std::vector<Workload> workloads;
+  std::vector<Tenant> tenants;
+  double overShareWorth = 1;
+  bool secondCopies = false;
+  bool mayCancel = false;
+  bool mayProbe = false;
+  bool mustAsk = false;       // the list comes only when asked for
+  bool goneBinds = true;      // a store that vanished from the list counts as drained
+  bool roleFollows = false;   // the list's role is kept up to date
+  bool storesCheck = false;   // a store that is too far behind turns a read away
+  bool tokensCarried = true;  // session reads say when their session last wrote
+  bool namesComeBack = false;
+  Span maxComeBack;
+  Span connectTimeout;
+  Span askEvery;
+  Span coldRamp;
+  Span coldWindow;
+  double coldFrom = 1;
+  double coldMultiple = 1;
+};
+
+struct Entry {
+  int store = -1;
+  int group = -1;
+  int zone = -1;
+  Listed listed = Listed::up;
+  bool primary = false;
+  double weight = 1;
+  std::optional<TimePoint> started;
+};
+
+struct Report {
+  std::optional<TimePoint> position;
+  std::optional<bool> primary;
+};
+
+struct Arrival {
+  int workload = -1;
+  int group = -1;
+  int tenant = -1;
+  std::uint64_t session = 0;
+  std::optional<Span> sinceWrite;
+  TimePoint giveUpAt;
+};
+
+struct Result {
+  int execution = -1;
+  Ending ending = Ending::ok;
+  Role role = Role::unknown;
+  std::optional<TimePoint> position;
+  Span took;
+  bool closed = false;  // the statement has its final answer
+  Report report;
+};
+
+// Where decisions go.
+class Writer {
+ public:
+  virtual ~Writer() = default;
+  virtual void send(int stmt, int store, TimePoint stopAt) = 0;
+  virtual void cancel(int stmt, int execution) = 0;
+  virtual void reject(int stmt, Span comeBack) = 0;
+  virtual void abort(int stmt) = 0;
+  virtual void probe(int store) = 0;
+  virtual void watchList() = 0;
+  virtual void wake(Span after) = 0;
+};
+
+struct Execution {
+  int store = -1;
+  TimePoint sent;
+  bool out = false;
+  bool cancelled = false;
+  bool mayHaveRun = true;
+};
+
+struct Stmt {
+  int workload = -1;
+  int group = -1;
+  int tenant = -1;
+  std::uint64_t session = 0;
+  bool open = false;
+  bool overShare = false;
+  TimePoint arrived;
+  TimePoint giveUpAt;
+  TimePoint needs = kNever;  // the position that a session or fresh read must see
+  TimePoint notBefore = kNever;
+  int tries = 0;  // at replicas that turned it away
+  std::vector<Execution> executions;
+};
+
+// What is known of stores, in parallel arrays under the store's index.
+struct Stores {
+  std::vector<int> group, zone;
+  std::vector<Listed> listed;
+  std::vector<double> weight;
+  std::vector<TimePoint> started;
+  std::vector<char> inList;
+  // lag
+  std::vector<TimePoint> position;
+  std::vector<std::vector<char>> drained;  // a flag a workload, as each has its own bound
+  std::vector<std::vector<TimePoint>> returned;
+  // role
+  std::vector<Role> role;
+  std::vector<TimePoint> primaryAt, replicaAt;  // last seen in that role
+  // probes
+  std::vector<char> probing;
+  std::vector<TimePoint> probeDue;
+  // health
+  std::vector<double> goodShare, speed;
+  std::vector<TimePoint> heard, healed, blockedUntil;
+  std::vector<Span> block;
+  std::vector<char> down;
+  // load
+  std::vector<int> out;
+  std::vector<double> limit;
+  std::vector<TimePoint> cutAt;
+  std::vector<double> coldBudget;
+  std::vector<TimePoint> coldFilled;
+};
+
+struct GroupState {
+  std::vector<int> members;
+  std::vector<int> waiting;  // statements not out anywhere, oldest first
+  int primary = -1;
+  bool primaryListed = false;  // only the list has named it
+  int turn = 0;
+  TimePoint searched = kNever;
+  TimePoint primarySince = kNever;
+  double workRate = 0;      // offered to this front, in store seconds a second
+  double boundedRate = 0;   // bounded and session reads a second
+  double doneRate = 0;      // completions a second
+  TimePoint rated = kNever;
+};
+
+class Rules {
+ public:
+  // Throws std::invalid_argument where a setting that it can't do without is missing or makes no sense.
+  Rules(Terms terms, TimePoint now);
+
+  // Facts, in the order in which they came in.
+  void listBegins(bool whole);
+  void entry(const Entry& e, TimePoint now);
+  void listEnds(bool asked, TimePoint now);
+  void listFailed(TimePoint now);
+  void arrived(int stmt, const Arrival& a, TimePoint now);
+  void resolved(int stmt, const Result& r, TimePoint now);
+  void gone(int stmt);
+  void probed(int store, bool ok, const Report& report, TimePoint now);
+  void woken();
+
+  // Once a round, after its facts.
+  void decide(TimePoint now, Writer& out);
+
+ private:
+  // the design: curve, drain, choice
+  double curve(int s, const Workload& w, TimePoint now) const;
+  bool measured(int s, const Stmt& st, TimePoint now) const;
+  double weightFor(int s, int stmt, TimePoint now) const;
+  int fewest(const std::vector<int>& among, int stmt, TimePoint now);
+  int route(int stmt, TimePoint now);
+  int routeCurrent(int stmt, TimePoint now);
+  void learnPosition(int s, TimePoint position, TimePoint now);
+  // primary search
+  void learnRole(int s, Role role, TimePoint at);
+  void namePrimary(int g, int s, bool byList, TimePoint now);
+  int searchTurn(int stmt, TimePoint now);
+  // probe timing
+  void probeRound(TimePoint now, Writer& out);
+  void learnRefresh(int s, TimePoint position, TimePoint now);
+  // health
+  bool usable(int s, TimePoint now) const;
+  void blockStore(int s, TimePoint now, bool down);
+  void learnHealth(int s, const Workload& w, const Result& r, TimePoint sent, TimePoint now);
+  // in-flight limit and shedding
+  bool room(int s, int stmt, TimePoint now) const;
+  void cutLimit(int s, TimePoint now);
+  double standing(const Stmt& st, TimePoint now) const;
+  void dispatch(int g, TimePoint now, Writer& out);
+  void shed(int g, TimePoint now, Writer& out);
+  void giveUp(int stmt, Writer& out);
+  // time-outs and further executions
+  bool mayRunAgain(const Stmt& st, int s, TimePoint now) const;
+  bool harmless(const Stmt& st) const;
+  bool isOut(const Stmt& st) const;
+  Span patience(int w) const;
+  void watchExecutions(TimePoint now, Writer& out);
+  // cold share by age
+  double warmth(int s, TimePoint now) const;
+  double coldRate(int s, TimePoint now) const;
+  void fillCold(int s, TimePoint now);
+  void send(int stmt, int s, TimePoint now, Writer& out);
+
+  Terms terms_;
+  std::ranlux24_base chance_;
+  Stores stores_;
+  std::vector<GroupState> groups_;
+  std::vector<Stmt> stmts_;
+  std::vector<int> open_;        // statements that are owed a final answer, oldest first
+  std::vector<Span> typical_;    // a workload's usual time from send to answer
+  std::vector<Span> least_;      // and about the least that it takes
+  std::unordered_map<std::uint64_t, TimePoint> sessions_;  // last commit of a session
+  TimePoint sessionFloor_ = kNever;
+  double furtherBudget_ = 0;
+  Span refresh_, reportAge_;     // of reports: their period, and their age when they can first be seen
+  Span smallestBound_, smallestSlo_;
+  TimePoint askAt_ = kNever;
+  Span askBackoff_;
+  bool asking_ = false;
+  TimePoint wakeAt_ = kNever;
+};
+
+}  // namespace reedchute
--- /dev/null
+++ b/src/wire/adapter.cpp
@@ -0,0 +1,433 @@
+#include "wire/adapter.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+#include "base/index.h"
+
+namespace reedchute::wire {
+namespace {
+
+constexpr int kSheets = 16;
+constexpr std::int64_t kLongestSleep = 71LL * 60 * 1'000'000;
+
+Level levelOf(const std::string& word) {
+  if (word == "eventual") return Level::any;
+  if (word == "lag_bound") return Level::bounded;
+  if (word == "causal") return Level::session;
+  if (word == "strong") return Level::fresh;
+  if (word == "mutate") return Level::write;
+  throw Malformed("unknown extra.read_level: '" + word + "'");
+}
+
+Effect effectOf(const std::string& word) {
+  if (word == "repeatable") return Effect::idempotent;
+  if (word == "by_key") return Effect::deduplicated;
+  if (word == "once") return Effect::nonIdempotent;
+  throw Malformed("unknown classes[].repeat: '" + word + "'");
+}
+
+Scope scopeOf(const std::string& word) {
+  if (word == "all") return Scope::everywhere;
+  if (word == "zone") return Scope::zone;
+  if (word == "cell") return Scope::group;
+  throw Malformed("unknown classes[].key_scope: '" + word + "'");
+}
+
+Ending endingOf(std::int64_t code) {
+  switch (code) {
+    case 200: return Ending::ok;
+    case 404: return Ending::miss;
+    case 503: return Ending::full;
+    case 500: return Ending::error;
+    case 504: return Ending::timeout;
+    case 502: return Ending::connectFailed;
+    case 598: return Ending::reset;
+    case 499: return Ending::cancelled;
+    case 410: return Ending::moot;
+    default: throw Malformed("unknown ending: " + std::to_string(code));
+  }
+}
+
+int listedOf(const std::string& word) {
+  if (word == "U") return static_cast<int>(Listed::up);
+  if (word == "L") return static_cast<int>(Listed::draining);
+  if (word == "D") return static_cast<int>(Listed::gone);
+  throw Malformed("unknown status: '" + word + "'");
+}
+
+int placeOf(const std::vector<std::string>& names, std::string_view name) {
+  auto it = std::find(names.begin(), names.end(), name);
+  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+}
+
+}  // namespace
+
+// One instance: its module, and the maps from the wire's ids to indices.
+class Instance : public Writer {
+ public:
+  Instance(int number, const Params& p, std::uint64_t seed, TimePoint now) : number_(number) {
+    rules_ = std::make_unique<Rules>(termsFrom(p, seed), now);
+  }
+
+  void send(int stmt, int store, TimePoint stopAt) override {
+    ++ledger_[static_cast<std::size_t>(stmt)].out;
+    ++ledger_[static_cast<std::size_t>(stmt)].sent;
+    begin("SUBMIT_TO").add(stmts.id(stmt)).add(stores.id(store)).add(stopAt.us).end();
+  }
+  void cancel(int stmt, int execution) override {
+    begin("STOP_ATTEMPT").add(stmts.id(stmt)).add(execution).end();
+  }
+  void reject(int stmt, Span comeBack) override {
+    begin("OVERLOAD_REPLY").add(stmts.id(stmt)).add(comeBack.us).end();
+    close(stmt);
+  }
+  void abort(int stmt) override {
+    begin("GIVE_UP").add(stmts.id(stmt)).end();
+    close(stmt);
+  }
+  void probe(int store) override { begin("POLL").add(stores.id(store)).end(); }
+  void watchList() override { begin("OBSERVE").add(1).end(); }
+  void wake(Span after) override { begin("SLEEP").add(1).add(std::min(after.us, kLongestSleep)).end(); }
+
+  void fault(std::string message) {
+    std::replace_if(message.begin(), message.end(), [](char c) { return c == '\t' || c == '\n'; }, ' ');
+    begin("INTERNAL_ERROR").add(message).end();
+  }
+
+  void decide(TimePoint now, std::string& reply) {
+    reply_ = &reply;
+    rules_->decide(now, *this);
+    for (int stmt : closed_) release(stmt);
+    closed_.clear();
+    reply_ = nullptr;
+  }
+
+  // A statement's index is free again once it has its answer and nothing is out for it.
+  struct Account {
+    int out = 0, sent = 0;
+    bool closed = false, queued = false;
+  };
+  void open(int stmt) {
+    if (ledger_.size() <= static_cast<std::size_t>(stmt)) ledger_.resize(static_cast<std::size_t>(stmt) + 1);
+    ledger_[static_cast<std::size_t>(stmt)] = {};
+  }
+  void close(int stmt) {
+    ledger_[static_cast<std::size_t>(stmt)].closed = true;
+    offerRelease(stmt);
+  }
+  Account& account(int stmt) { return ledger_[static_cast<std::size_t>(stmt)]; }
+  void offerRelease(int stmt) {
+    Account& a = account(stmt);
+    if (!a.closed || a.out > 0 || a.queued) return;
+    a.queued = true;
+    closed_.push_back(stmt);
+  }
+  void faulted(std::string& reply, const std::string& message) {
+    reply_ = &reply;
+    fault(message);
+    reply_ = nullptr;
+  }
+
+  Rules& rules() { return *rules_; }
+
+  Index<std::string> stores;
+  Index<std::uint64_t> stmts;
+  Index<std::int64_t> groups;
+  std::vector<std::string> workloads, tenants, zones;
+  TimePoint origin;
+  std::string pendingFault;
+
+ private:
+  Terms termsFrom(const Params& p, std::uint64_t seed);
+
+  Instance& begin(const char* name) {
+    reply_->append(name).append("\t").append(std::to_string(number_));
+    return *this;
+  }
+  template <class T>
+  Instance& add(const T& value) {
+    reply_->push_back('\t');
+    if constexpr (std::is_integral_v<T>)
+      reply_->append(std::to_string(value));
+    else
+      reply_->append(value);
+    return *this;
+  }
+  void end() { reply_->push_back('\n'); }
+  void release(int stmt) { stmts.release(stmt); }
+
+  int number_;
+  std::unique_ptr<Rules> rules_;
+  std::string* reply_ = nullptr;
+  std::vector<Account> ledger_;
+  std::vector<int> closed_;
+};
+
+Terms Instance::termsFrom(const Params& p, std::uint64_t seed) {
+  Terms t;
+  t.seed = seed;
+  origin = t.origin = TimePoint{p.integer("extra.origin_time")};
+  t.fronts = static_cast<int>(p.integer("siblings", 1));
+  t.tick = Span{p.integer("tick")};
+  zones = p.list("failure_domains");
+  if (const std::string* zone = p.find("zone")) t.zone = placeOf(zones, *zone);
+  std::vector<std::string> levels = p.list("extra.read_level"), bounds = p.list("extra.lag_allowed");
+  std::int64_t count = p.integer("classes.count");
+  if (count < 1 || count > 10'000 || levels.size() != static_cast<std::size_t>(count))
+    throw Malformed("extra.read_level must name a level for each of the classes");
+  for (std::size_t k = 0; k < static_cast<std::size_t>(count); ++k) {
+    std::string at = "classes." + std::to_string(k) + ".";
+    workloads.push_back(p.need(at + "name"));
+    Workload w;
+    w.level = levelOf(levels[k]);
+    if (k < bounds.size()) w.bound = Span{static_cast<std::int64_t>(wire::number(bounds[k], "extra.lag_allowed"))};
+    w.effect = effectOf(p.need(at + "repeat"));
+    if (w.effect == Effect::deduplicated) {
+      w.scope = scopeOf(p.need(at + "key_scope"));
+      w.window = Span{p.integer(at + "repeat_window")};
+    }
+    w.slo = Span{p.integer(at + "slo")};
+    w.importance = p.number(at + "worth", 1);
+    w.lateShare = p.number(at + "late_worth", 0);
+    t.workloads.push_back(w);
+  }
+  for (std::int64_t k = 0, n = p.integer("realms.count", 0); k < n; ++k) {
+    std::string at = "realms." + std::to_string(k) + ".";
+    tenants.push_back(p.need(at + "name"));
+    t.tenants.push_back({p.number(at + "quota_per_s", 0)});
+  }
+  t.overShareWorth = p.number("over_share_worth", 1);
+  t.maxExecutions = static_cast<int>(p.integer("limits.max_attempts", 1));
+  t.secondCopies = p.boolean("limits.parallel_tries", false);
+  t.mayCancel = p.boolean("limits.may_cancel", false);
+  t.mayProbe = p.boolean("limits.probes", false);
+  t.mustAsk = p.need("membership_mode") == "subscribe";
+  t.goneBinds = !p.boolean("obligations.dropped_stay_open", false);
+  t.roleFollows = p.find("extra.role_in_list") && *p.find("extra.role_in_list") == "trailing";
+  t.storesCheck = p.find("extra.checks") && *p.find("extra.checks") != "none";
+  t.tokensCarried = !p.find("extra.tokens") || *p.find("extra.tokens") == "brought";
+  t.namesComeBack = p.boolean("limits.retry_after", false);
+  t.maxComeBack = Span{p.integer("limits.max_retry_after", 0)};
+  t.connectTimeout = Span{p.integer("limits.connect_timeout")};
+  t.askEvery = Span{p.integer("obligations.ask_every")};
+  t.coldRamp = Span{p.integer("obligations.ramp_time")};
+  t.coldWindow = Span{p.integer("obligations.tip_after")};
+  t.coldFrom = p.number("obligations.cold_from");
+  t.coldMultiple = p.number("obligations.fall_multiple");
+  return t;
+}
+
+Adapter::Adapter() : sheets_(kSheets), sheetKnown_(kSheets, 0) {}
+Adapter::~Adapter() = default;
+
+Instance& Adapter::instance() {
+  int number = static_cast<int>(line_.integer(1, "i", 0, INT32_MAX));
+  auto it = instances_.find(number);
+  if (it == instances_.end()) throw Malformed("instance " + std::to_string(number) + " was never started");
+  if (std::find(touched_.begin(), touched_.end(), number) == touched_.end()) touched_.push_back(number);
+  return *it->second;
+}
+
+bool Adapter::line(std::string_view text, std::string& reply) {
+  line_.split(text);
+  std::string_view name = line_.name();
+  if (!inBatch_) {
+    if (name != "TURN") throw Malformed("a line outside a batch");
+    line_.expect(1);
+    std::int64_t clock = line_.integer(1, "clock");
+    if (clock < lastClock_) throw Malformed("the clock went back");
+    lastClock_ = clock;
+    now_ = TimePoint{clock};
+    inBatch_ = true;
+    return false;
+  }
+  if (sheetMissing_ > 0) {
+    listLine();
+    return false;
+  }
+  if (name == "GO") {
+    line_.expect(0);
+    finish(reply);
+    return true;
+  }
+  event(reply);
+  return false;
+}
+
+void Adapter::event(std::string&) {
+  std::string_view name = line_.name();
+  if (name == "JOB_IN") return jobIn();
+  if (name == "RESOLVED") return outcome();
+  if (name == "REGISTRY") return registry();
+  if (name == "WAKEUP") {
+    line_.expect(2);
+    line_.integer(2, "mark");
+    instance().rules().woken();
+  } else if (name == "PONG") {
+    line_.expect(5);
+    Instance& in = instance();
+    int store = in.stores.find(line_.text(3, "store"));
+    if (store < 0) throw Malformed("a store that no list has named: '" + line_.text(3, "store") + "'");
+    Ending ending = endingOf(line_.integer(2, "ending"));
+    line_.integer(4, "delay_seen");
+    Report report;
+    for (auto [field, value] : line_.report(5, "pressure")) {
+      if (field == "x0") report.position = in.origin + Span{static_cast<std::int64_t>(value * 1e6)};
+      if (field == "x1") report.primary = value > 0.5;
+    }
+    in.rules().probed(store, ending == Ending::ok, report, now_);
+  } else if (name == "GONE") {
+    line_.expect(2);
+    Instance& in = instance();
+    int stmt = in.stmts.find(line_.unsigned64(2, "req"));
+    if (stmt < 0 || in.account(stmt).closed) return;  // ended a moment ago
+    in.rules().gone(stmt);
+    in.close(stmt);
+  } else if (name == "SHEET") {
+    line_.expect(2);
+    sheetOpen_ = static_cast<int>(line_.integer(1, "bank", 0, kSheets - 1));
+    sheetMissing_ = static_cast<std::size_t>(line_.integer(2, "hosts", 0, 10'000'000));
+    sheets_[static_cast<std::size_t>(sheetOpen_)].clear();
+    sheetKnown_[static_cast<std::size_t>(sheetOpen_)] = 1;
+  } else if (name == "SPAWN") {
+    if (line_.fields() < 3) line_.expect(3);
+    int number = static_cast<int>(line_.integer(1, "i", 0, INT32_MAX));
+    if (instances_.count(number)) throw Malformed("instance " + std::to_string(number) + " runs already");
+    Params params;
+    for (std::size_t k = 3; k <= line_.fields(); ++k) params.add(line_.raw(k));
+    try {
+      instances_[number] = std::make_unique<Instance>(number, params, line_.unsigned64(2, "nonce64"), now_);
+    } catch (const std::invalid_argument& e) {
+      throw Malformed(e.what());
+    }
+    instance();
+  } else if (name == "KILL") {
+    line_.expect(1);
+    instance();
+    int number = static_cast<int>(line_.integer(1, "i"));
+    instances_.erase(number);
+    std::erase(touched_, number);
+  } else if (name == "HEADERS") {
+    line_.expect(5);
+    Instance& in = instance();
+    int stmt = in.stmts.find(line_.unsigned64(2, "req"));
+    if (stmt < 0) throw Malformed("a statement that is not known: " + std::string(line_.raw(2)));
+    line_.text(3, "store");
+    line_.integer(4, "seq_no");
+    line_.integer(5, "delay_seen");
+    in.rules().gone(stmt);  // the answer has begun to flow to the client: nothing is left to decide
+  } else if (name == "PEER") {
+    line_.expect(3);
+    line_.integer(2, "origin_peer");
+    for (char c : line_.raw(3))
+      if (!std::isxdigit(static_cast<unsigned char>(c)) && c != '-') throw Malformed("bad value for data");
+    instance();
+  } else {
+    throw Malformed("unknown message '" + std::string(name.substr(0, 40)) + "'");
+  }
+}
+
+void Adapter::listLine() {
+  if (line_.name() != "M") throw Malformed("an entry of the list is missing");
+  line_.expect(8);
+  ListEntry e;
+  e.store = line_.text(1, "store");
+  e.primary = line_.maybeNumber(2, "primary").value_or(0) > 0.5;
+  e.zone = line_.raw(3);
+  e.group = line_.integer(5, "db", INT32_MIN, INT32_MAX);
+  e.listed = listedOf(line_.text(6, "status"));
+  e.weight = line_.maybeNumber(7, "heft").value_or(1);
+  e.started = line_.maybeInteger(8, "last_start").value_or(0);
+  sheets_[static_cast<std::size_t>(sheetOpen_)].push_back(std::move(e));
+  --sheetMissing_;
+}
+
+void Adapter::registry() {
+  line_.expect(4);
+  Instance& in = instance();
+  std::string how = line_.text(2, "how");
+  line_.integer(3, "version");
+  if (how == "broken") return in.rules().listFailed(now_);
+  if (how != "patch" && how != "whole" && how != "stale_copy") throw Malformed("unknown list kind '" + how + "'");
+  std::size_t bank = static_cast<std::size_t>(line_.integer(4, "bank", 0, kSheets - 1));
+  if (!sheetKnown_[bank]) throw Malformed("list " + std::to_string(bank) + " was never set up");
+  in.rules().listBegins(how != "patch");
+  for (const ListEntry& e : sheets_[bank]) {
+    Entry entry;
+    entry.store = in.stores.add(e.store);
+    entry.group = in.groups.add(e.group);
+    entry.zone = placeOf(in.zones, e.zone);
+    entry.listed = static_cast<Listed>(e.listed);
+    entry.primary = e.primary;
+    entry.weight = e.weight;
+    if (e.started > 0) entry.started = TimePoint{e.started};
+    in.rules().entry(entry, now_);
+  }
+  in.rules().listEnds(how != "stale_copy", now_);
+}
+
+void Adapter::jobIn() {
+  line_.expect(10);
+  Instance& in = instance();
+  std::uint64_t id = line_.unsigned64(2, "req");
+  if (id >= (1ULL << 52)) throw Malformed("bad value for req: '" + std::string(line_.raw(2)) + "'");
+  if (in.stmts.find(id) >= 0) throw Malformed("a statement came in twice: " + std::to_string(id));
+  Arrival a;
+  line_.maybeNumber(3, "expected");
+  if (auto ms = line_.maybeNumber(4, "last_write_ms")) a.sinceWrite = Span{static_cast<std::int64_t>(*ms * 1000)};
+  a.workload = placeOf(in.workloads, line_.raw(5));
+  if (a.workload < 0) throw Malformed("unknown lane '" + std::string(line_.raw(5)) + "'");
+  line_.maybeInteger(6, "bitmap");
+  a.giveUpAt = TimePoint{line_.integer(7, "give_up_at")};
+  a.session = line_.hex(8, "session");
+  a.tenant = placeOf(in.tenants, line_.raw(9));
+  a.group = in.groups.add(line_.integer(10, "group_no", INT32_MIN, INT32_MAX));
+  int stmt = in.stmts.add(id);
+  in.open(stmt);
+  in.rules().arrived(stmt, a, now_);
+}
+
+void Adapter::outcome() {
+  line_.expect(9);
+  Instance& in = instance();
+  std::uint64_t id = line_.unsigned64(2, "req");
+  int stmt = in.stmts.find(id);
+  if (stmt < 0) throw Malformed("an outcome of a statement that is not known: " + std::to_string(id));
+  Result r;
+  r.execution = static_cast<int>(line_.integer(3, "seq_no", 0, INT32_MAX));
+  if (r.execution >= in.account(stmt).sent) throw Malformed("an outcome of an execution that was never sent");
+  line_.text(4, "store");
+  std::int64_t mark = line_.maybeInteger(5, "mark").value_or(0);
+  r.took = Span{line_.integer(6, "delay_seen")};
+  r.closed = line_.boolean(7, "complete");
+  r.ending = endingOf(line_.integer(8, "ending"));
+  if (mark % 4 == 1) r.role = Role::primary;
+  if (mark % 4 == 2) r.role = Role::replica;
+  if (mark / 4 > 0) r.position = in.origin + Span{mark / 4 * 1000};
+  for (auto [field, value] : line_.report(9, "pressure"))
+    if (field == "x0") r.report.position = in.origin + Span{static_cast<std::int64_t>(value * 1e6)};
+  Instance::Account& account = in.account(stmt);
+  --account.out;
+  in.rules().resolved(stmt, r, now_);
+  if (r.closed) account.closed = true;
+  in.offerRelease(stmt);
+}
+
+void Adapter::finish(std::string& reply) {
+  reply.clear();
+  for (int number : touched_) {
+    auto it = instances_.find(number);
+    if (it == instances_.end()) continue;
+    try {
+      it->second->decide(now_, reply);
+    } catch (const std::exception& e) {
+      it->second->faulted(reply, e.what());
+    }
+  }
+  touched_.clear();
+  reply.append("READY\n");
+  inBatch_ = false;
+}
+
+}  // namespace reedchute::wire
