--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -37,7 +37,7 @@
 // In-flight limit.
 constexpr double kFirstLimit = 8;
 constexpr double kCut = 0.8;
-constexpr double kSlowAnswer = 0.6;   // of the SLO time: an answer slower than that cuts the limit
+constexpr double kSlowAnswer = 0.4;   // of the SLO time: an answer slower than that cuts the limit
 constexpr double kReadShare = 0.75;   // of the primary's limit that reads may fill
 constexpr double kWorthWaiting = 0.5; // late share from which a late statement still waits for room
 // Time-outs.
@@ -91,7 +91,7 @@
     S.drained.emplace_back(terms_.workloads.size(), 1);  // unmeasured counts as drained
     S.returned.emplace_back(terms_.workloads.size(), kNever);
     S.role.push_back(Role::unknown), S.primaryAt.push_back(kNever), S.replicaAt.push_back(kNever);
-    S.probing.push_back(0), S.probeDue.push_back(kNever);
+    S.probing.push_back(0), S.reported.push_back(kNever), S.probeDue.push_back(kNever);
     S.goodShare.push_back(1), S.speed.push_back(1), S.heard.push_back(kNever), S.healed.push_back(now);
     S.blockedUntil.push_back(kNever), S.block.push_back({}), S.down.push_back(0);
     S.out.push_back(0), S.limit.push_back(kFirstLimit), S.cutAt.push_back(kNever);
@@ -288,20 +288,23 @@
 
 // Reports are renewed at a steady pace: learn it, and the age a report has at the earliest.
 void Rules::learnRefresh(int s, TimePoint position, TimePoint now) {
-  TimePoint before = stores_.position[s];
-  Span age = now - position;
+  TimePoint before = stores_.reported[s];
+  Span age = now - position, pace = smallestBound_ * kFirstPace;
   if (position <= before) {  // not renewed yet
-    stores_.probeDue[s] = now + refresh_ * kFirstPace;
+    stores_.probeDue[s] = now + larger(pace, refresh_ * kFirstPace);
     return;
   }
-  if (age < smallestBound_) {
-    reportAge_ = smaller(reportAge_ * (1 + kDrift), age);
-    if (before > kNever && position - before > smallestBound_ * kFirstPace)
-      refresh_ = smaller(refresh_ * (1 + kDrift), position - before);
-    stores_.probeDue[s] = position + refresh_ + reportAge_ * (1 + kFirstPace);
-  } else {
+  stores_.reported[s] = position;
+  if (age >= smallestBound_) {
     stores_.probeDue[s] = now + smaller(larger(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
+    return;
   }
+  reportAge_ = smaller(reportAge_ * (1 + kDrift), age);
+  // Reports of a store that is catching up or falling behind stand closer or further apart than they are made.
+  Span gap = before > kNever ? position - before : refresh_;
+  if (gap < refresh_ && gap > pace) refresh_ = refresh_ - (refresh_ - gap) * kLearn;
+  else if (gap > refresh_ && gap < refresh_ * 1.5) refresh_ = refresh_ + (gap - refresh_) * kLearn;
+  stores_.probeDue[s] = position + refresh_ + reportAge_ * (1 + kFirstPace);
 }
 
 void Rules::probeRound(TimePoint now, Writer& out) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -150,6 +150,7 @@
   std::vector<TimePoint> primaryAt, replicaAt;  // last seen in that role
   // probes
   std::vector<char> probing;
+  std::vector<TimePoint> reported;  // the position of its newest report
   std::vector<TimePoint> probeDue;
   // health
   std::vector<double> goodShare, speed;
