--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -321,7 +321,7 @@
       if (stores_.probing[s] || stores_.listed[s] != Listed::up || now < stores_.probeDue[s]) continue;
       if (s == g.primary && !lost && !first) continue;
       if (!usable(s, now) && !lost) continue;
-      if (!first && !wanted && !lost) continue;
+      if (!first && !lost && (!wanted || now - stores_.position[s] < smallestBound_ * kReentry)) continue;
       stores_.probing[s] = 1;
       stores_.probeDue[s] = now + refresh_;
       out.probe(s);
