--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -21,6 +21,8 @@
 constexpr double kSoft = 0.25;
 constexpr double kFloor = 0.10;
 constexpr double kReentry = 0.60;     // above the age that a report has when it comes in, or none would return
+constexpr double kSpare = 0.25;       // what a replica fit for bounded reads counts for reads that any may answer
+constexpr double kSpill = 0.1;        // of the SLO time that a long read waits before it takes one more replica
 constexpr double kSlowStart = 10;     // SLO times (the smallest) over which a returned replica ramps up
 // Primary search.
 constexpr double kSearchGap = 0.1;    // of the workload's SLO time, between two tries at members in turn
@@ -39,11 +41,13 @@
 constexpr double kCut = 0.8;
 constexpr double kSlowAnswer = 0.4;   // of the SLO time: an answer slower than that cuts the limit
 constexpr double kReadShare = 0.75;   // of the primary's limit that reads may fill
+constexpr double kLongRoom = 2;       // of a replica's limit that long reads may fill where they are packed
 constexpr double kWorthWaiting = 0.5; // late share from which a late statement still waits for room
 // Time-outs.
-constexpr double kPatience = 3;       // usual times without a word before a store counts as silent
-constexpr double kPatienceCap = 0.5;  // of the SLO time
-constexpr double kFurther = 0.2;      // second copies earned by each statement
+constexpr double kSilent = 8;         // answers that a store should have given since its last, to count as silent
+constexpr double kOverdue = 3;        // usual times, and
+constexpr double kOverdueShare = 0.5; // of the SLO time: an execution older than both is overdue
+constexpr double kFurther = 0.05;     // second copies earned by each statement
 constexpr double kFurtherCap = 16;
 // Cold share.
 constexpr double kColdHeadroom = 0.4; // of the multiple at which a cold store falls over
@@ -134,7 +138,7 @@
 // ---- the design: positions, curve, drain, choice ----------------------------------------------------------------
 
 void Rules::learnPosition(int s, TimePoint position, TimePoint now) {
-  if (position <= stores_.position[s]) return;
+  if (position < stores_.position[s]) return;
   stores_.position[s] = position;
   Span lag = now - position;
   for (std::size_t w = 0; w < terms_.workloads.size(); ++w) {
@@ -169,6 +173,20 @@
   return false;
 }
 
+// Is the replica of use to bounded reads just now?
+bool Rules::boundedAt(int s, TimePoint now) const {
+  for (std::size_t w = 0; w < terms_.workloads.size(); ++w)
+    if (terms_.workloads[w].level == Level::bounded && !stores_.drained[s][w] &&
+        curve(s, terms_.workloads[w], now) > 0)
+      return true;
+  return false;
+}
+
+// Does it run so long that a replica which holds up its log for it falls behind the smallest bound?
+bool Rules::longRead(const Stmt& st) const {
+  return terms_.workloads[st.workload].level == Level::any && typical_[st.workload] > smallestBound_;
+}
+
 double Rules::weightFor(int s, int stmt, TimePoint now) const {
   const Stmt& st = stmts_[stmt];
   const Workload& w = terms_.workloads[st.workload];
@@ -177,6 +195,7 @@
     double ramp = (now - stores_.returned[s][st.workload]) / (smallestSlo_ * kSlowStart);
     weight *= std::clamp(ramp, kFloor, 1.0);
   }
+  if (w.level == Level::any && boundedAt(s, now)) weight *= kSpare;
   // Danger: quick errors free slots fast and draw more reads; a slow store answers right but late.
   weight *= stores_.goodShare[s] * stores_.goodShare[s] / std::clamp(stores_.speed[s], 0.5, 10.0);
   for (const Execution& e : st.executions)
@@ -207,8 +226,13 @@
   GroupState& g = groups_[st.group];
   std::vector<int> fit;
   bool known = false, awaited = false;
+  // Danger: a replica may hold up its log while it runs a long read; spread over all, they leave none fresh. They
+  // fill members in list order, which is the same at every front, and wait a while before they take one more.
+  bool packed = longRead(st);
+  int taken = packed ? 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)) : static_cast<int>(g.members.size());
   for (int s : g.members) {
     if (s == g.primary || !usable(s, now)) continue;
+    if (--taken < 0) break;
     awaited |= stores_.probing[s] && !(w.level == Level::bounded && stores_.position[s] > kNever &&
                                        stores_.drained[s][st.workload]);
     if (!measured(s, st, now)) continue;
@@ -218,6 +242,7 @@
   if (!fit.empty()) return fewest(fit, stmt, now);
   // Reads await a probe answer that is under way, but not for long.
   if (!known && awaited && now - st.arrived < w.slo * kSearchGap) return -1;
+  if (packed && taken < 0 && !g.members.empty()) return -1;
   return routeCurrent(stmt, now);
 }
 
@@ -391,7 +416,7 @@
   for (const Execution& e : st.executions)
     if (e.out && e.store == s) return false;
   bool current = terms_.workloads[st.workload].level == Level::write || terms_.workloads[st.workload].level == Level::fresh;
-  double share = s == groups_[st.group].primary && !current ? kReadShare : 1;
+  double share = s == groups_[st.group].primary && !current ? kReadShare : longRead(st) ? kLongRoom : 1;
   if (stores_.out[s] >= std::max(1.0, std::floor(stores_.limit[s] * share))) return false;
   return warmth(s, now) >= 1 || stores_.coldBudget[s] > 0;
 }
@@ -422,7 +447,7 @@
     if (st.notBefore <= now && !stuck[st.workload]) {
       s = route(stmt, now);
       if (s >= 0 && !mayRunAgain(st, s, now)) s = -1;
-      if (s < 0 && (level == Level::any || level == Level::bounded)) stuck[st.workload] = 1;
+      if (s < 0 && level == Level::bounded) stuck[st.workload] = 1;
     }
     if (s >= 0)
       send(stmt, s, now, out);
@@ -491,11 +516,20 @@
   return true;
 }
 
-Span Rules::patience(int w) const {
-  return smaller(typical_[w] * kPatience, terms_.workloads[w].slo * kPatienceCap);
+// How many answers a store owes, by what its executions usually take. Danger: a store that takes work and answers
+// nothing looks like any other; it shows only here, and the sooner the more it holds.
+std::vector<double> Rules::answersMissing(TimePoint now) const {
+  std::vector<double> missing(stores_.group.size(), 0);
+  for (int stmt : open_)
+    for (const Execution& e : stmts_[stmt].executions)
+      if (e.out) missing[e.store] += (now - std::max(stores_.heard[e.store], e.sent)) / typical_[stmts_[stmt].workload];
+  return missing;
 }
 
 void Rules::watchExecutions(TimePoint now, Writer& out) {
+  std::vector<double> missing = answersMissing(now);
+  for (std::size_t s = 0; s < missing.size(); ++s)
+    if (missing[s] > kSilent && stores_.blockedUntil[s] <= now) blockStore(static_cast<int>(s), now, false);
   for (int stmt : open_) {
     Stmt& st = stmts_[stmt];
     if (!st.open) continue;
@@ -510,12 +544,11 @@
     for (std::size_t k = 0; k < st.executions.size(); ++k) {
       Execution e = st.executions[k];
       if (!e.out || e.cancelled) continue;
-      Span age = now - e.sent, wait = patience(st.workload);
-      bool silent = age > wait && now - std::max(stores_.heard[e.store], e.sent) > wait;
-      if (silent && stores_.blockedUntil[e.store] <= now && stores_.blockedUntil[e.store] < e.sent + wait)
-        blockStore(e.store, now, false);
+      Span age = now - e.sent, usual = typical_[st.workload];
+      bool silent = missing[e.store] > kSilent && age > usual;
       bool moved = w.level == Level::write && g.primary >= 0 && g.primary != e.store && g.primarySince > e.sent;
-      bool overdue = w.effect == Effect::idempotent && (silent || age > w.slo * kPatienceCap) && age > wait;
+      bool overdue = w.effect == Effect::idempotent &&
+                     (silent || age > larger(usual * kOverdue, w.slo * kOverdueShare));
       if (terms_.mayCancel && (moved || (overdue && silent && !terms_.secondCopies))) {
         st.executions[k].cancelled = true;
         out.cancel(stmt, static_cast<int>(k));
--- a/src/rules.h
+++ b/src/rules.h
@@ -202,6 +202,8 @@
   // the design: curve, drain, choice
   double curve(int s, const Workload& w, TimePoint now) const;
   bool measured(int s, const Stmt& st, TimePoint now) const;
+  bool boundedAt(int s, TimePoint now) const;
+  bool longRead(const Stmt& st) const;
   double weightFor(int s, int stmt, TimePoint now) const;
   int fewest(const std::vector<int>& among, int stmt, TimePoint now);
   int route(int stmt, TimePoint now);
@@ -229,7 +231,7 @@
   bool mayRunAgain(const Stmt& st, int s, TimePoint now) const;
   bool harmless(const Stmt& st) const;
   bool isOut(const Stmt& st) const;
-  Span patience(int w) const;
+  std::vector<double> answersMissing(TimePoint now) const;
   void watchExecutions(TimePoint now, Writer& out);
   // cold share by age
   double warmth(int s, TimePoint now) const;
