--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -91,7 +91,7 @@
   Stores& S = stores_;
   while (static_cast<int>(S.group.size()) <= e.store) {
     S.group.push_back(-1), S.zone.push_back(-1), S.listed.push_back(Listed::up), S.weight.push_back(1);
-    S.started.push_back(kNever), S.inList.push_back(0), S.position.push_back(kNever);
+    S.started.push_back(kNever), S.inList.push_back(0), S.position.push_back(kNever), S.lag.push_back({});
     S.drained.emplace_back(terms_.workloads.size(), 1);  // unmeasured counts as drained
     S.returned.emplace_back(terms_.workloads.size(), kNever);
     S.role.push_back(Role::unknown), S.primaryAt.push_back(kNever), S.replicaAt.push_back(kNever);
@@ -141,6 +141,7 @@
   if (position < stores_.position[s]) return;
   stores_.position[s] = position;
   Span lag = now - position;
+  stores_.lag[s] = lag;
   for (std::size_t w = 0; w < terms_.workloads.size(); ++w) {
     const Workload& row = terms_.workloads[w];
     if (row.level != Level::bounded) continue;
@@ -153,11 +154,14 @@
   }
 }
 
-double Rules::curve(int s, const Workload& w, TimePoint now) const {
-  if (w.level != Level::bounded) return 1;
-  Span lag = now - stores_.position[s], soft = w.bound * kSoft;
+double line(Span lag, Span hard) {
+  Span soft = hard * kSoft;
   if (lag <= soft) return 1;
-  return lag >= w.bound ? 0 : 1 - (1 - kFloor) * ((lag - soft) / (w.bound - soft));
+  return lag >= hard ? 0 : 1 - (1 - kFloor) * ((lag - soft) / (hard - soft));
+}
+
+double Rules::curve(int s, const Workload& w, TimePoint now) const {
+  return w.level == Level::bounded ? line(now - stores_.position[s], w.bound) : 1;
 }
 
 // Is the replica known to be fresh enough for this statement, if it is sent now?
@@ -321,7 +325,9 @@
   }
   stores_.reported[s] = position;
   if (age >= smallestBound_) {
-    stores_.probeDue[s] = now + smaller(larger(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
+    // Danger: probes at the reports' own pace may meet each one at its oldest and never see the replica fresh.
+    bool phase = age < (refresh_ + reportAge_) * 1.5;
+    stores_.probeDue[s] = phase ? now + pace : now + smaller(larger(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
     return;
   }
   reportAge_ = smaller(reportAge_ * (1 + kDrift), age);
@@ -417,6 +423,11 @@
     if (e.out && e.store == s) return false;
   bool current = terms_.workloads[st.workload].level == Level::write || terms_.workloads[st.workload].level == Level::fresh;
   double share = s == groups_[st.group].primary && !current ? kReadShare : longRead(st) ? kLongRoom : 1;
+  const Workload& w = terms_.workloads[st.workload];
+  if (w.level == Level::bounded && s != groups_[st.group].primary) {
+    // Danger: weights only share out load; when all replicas lag a little under it, all of them soon lag too much.
+    share *= line(larger(Span{}, stores_.lag[s] - reportAge_), w.bound);
+  }
   if (stores_.out[s] >= std::max(1.0, std::floor(stores_.limit[s] * share))) return false;
   return warmth(s, now) >= 1 || stores_.coldBudget[s] > 0;
 }
--- a/src/rules.h
+++ b/src/rules.h
@@ -143,6 +143,7 @@
   std::vector<char> inList;
   // lag
   std::vector<TimePoint> position;
+  std::vector<Span> lag;  // as it was when the position came in
   std::vector<std::vector<char>> drained;  // a flag a workload, as each has its own bound
   std::vector<std::vector<TimePoint>> returned;
   // role
