--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -38,7 +38,8 @@
 constexpr double kBlockCap = 8;       // connect time-outs: the longest block
 // In-flight limit.
 constexpr double kFirstLimit = 8;
-constexpr double kCut = 0.8;
+constexpr double kCut = 0.7;
+constexpr double kLagCut = 0.25;      // of the bound: more lag than that cuts the limit too
 constexpr double kSlowAnswer = 0.4;   // of the SLO time: an answer slower than that cuts the limit
 constexpr double kReadShare = 0.75;   // of the primary's limit that reads may fill
 constexpr double kLongRoom = 2;       // of a replica's limit that long reads may fill where they are packed
@@ -145,6 +146,8 @@
   for (std::size_t w = 0; w < terms_.workloads.size(); ++w) {
     const Workload& row = terms_.workloads[w];
     if (row.level != Level::bounded) continue;
+    // Danger: reads crowd the thread that applies the log; where they do, fewer of them let it catch up.
+    if (lag - reportAge_ >= row.bound * kLagCut) cutLimit(s, position, now);
     if (lag >= row.bound) {
       stores_.drained[s][w] = 1;
     } else if (stores_.drained[s][w] && lag < row.bound * kReentry) {
@@ -402,13 +405,13 @@
     S.speed[s] += kLearn * 0.5 * (r.took / typical_[ix] - S.speed[s]);
     typical_[ix] = typical_[ix] + (smaller(r.took, w.slo) - typical_[ix]) * (kLearn * 0.2);
     if (r.took > w.slo * kSlowAnswer)
-      cutLimit(s, sent);
+      cutLimit(s, sent, now);
     else if (S.out[s] + 1 >= S.limit[s] * 0.5)
       S.limit[s] += 1 / S.limit[s];
   } else if (r.ending == Ending::error) {
     S.goodShare[s] -= kLearn * S.goodShare[s];
   } else if (r.ending == Ending::full) {
-    cutLimit(s, sent);
+    cutLimit(s, sent, now);
     if (S.out[s] == 0) blockStore(s, now, false);
   } else if (r.ending == Ending::connectFailed || r.ending == Ending::reset) {
     if (S.blockedUntil[s] <= now) blockStore(s, now, true);
@@ -433,8 +436,9 @@
 }
 
 // One cut for all that was sent before the last one: they tell of the same jam.
-void Rules::cutLimit(int s, TimePoint sent) {
+void Rules::cutLimit(int s, TimePoint sent, TimePoint now) {
   if (sent < stores_.cutAt[s]) return;
+  stores_.cutAt[s] = now;
   stores_.limit[s] = std::max(1.0, stores_.limit[s] * kCut);
 }
 
--- a/src/rules.h
+++ b/src/rules.h
@@ -223,7 +223,7 @@
   void learnHealth(int s, const Workload& w, const Result& r, TimePoint sent, TimePoint now);
   // in-flight limit and shedding
   bool room(int s, int stmt, TimePoint now) const;
-  void cutLimit(int s, TimePoint now);
+  void cutLimit(int s, TimePoint sent, TimePoint now);
   double standing(const Stmt& st, TimePoint now) const;
   void dispatch(int g, TimePoint now, Writer& out);
   void shed(int g, TimePoint now, Writer& out);
