--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -43,6 +43,7 @@
 constexpr double kSlowAnswer = 0.4;   // of the SLO time: an answer slower than that cuts the limit
 constexpr double kReadShare = 0.75;   // of the primary's limit that reads may fill
 constexpr double kLongRoom = 2;       // of a replica's limit that long reads may fill where they are packed
+constexpr double kStart = 1.0;         // usual times that must be left before the SLO time for a start to be in time
 constexpr double kWorthWaiting = 0.5; // late share from which a late statement still waits for room
 // Time-outs.
 constexpr double kSilent = 8;         // answers that a store should have given since its last, to count as silent
@@ -445,7 +446,7 @@
 double Rules::standing(const Stmt& st, TimePoint now) const {
   const Workload& w = terms_.workloads[st.workload];
   double worth = w.importance * (st.overShare ? terms_.overShareWorth : 1);
-  return now + typical_[st.workload] * 0.5 > st.arrived + w.slo ? worth * w.lateShare : worth;
+  return now + typical_[st.workload] * kStart > st.arrived + w.slo ? worth * w.lateShare : worth;
 }
 
 void Rules::dispatch(int g, TimePoint now, Writer& out) {
@@ -478,9 +479,9 @@
   for (int stmt : group.waiting) {
     const Stmt& st = stmts_[stmt];
     const Workload& w = terms_.workloads[st.workload];
-    bool late = now + typical_[st.workload] * 0.5 > st.arrived + w.slo;
+    bool late = now + typical_[st.workload] * kStart > st.arrived + w.slo;
     bool lost = w.level != Level::any && (group.primary < 0 || !usable(group.primary, now));
-    bool hopeless = now + typical_[st.workload] * 0.5 > st.giveUpAt ||
+    bool hopeless = now + typical_[st.workload] * kStart > st.giveUpAt ||
                     static_cast<int>(st.executions.size()) >= terms_.maxExecutions;
     if (hopeless || (late && (w.lateShare <= 0 || (!lost && w.lateShare < kWorthWaiting)))) giveUp(stmt, out);
   }
