Trace tests; probe before placing; search skips members that just answered as replicas

The traces showed two faults: a new front's first bounded read went to the primary instead of awaiting the probe, and a write turned away by the listed primary was sent there again.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -26,6 +26,7 @@
 constexpr double kSlowStart = 10;     // SLO times (the smallest) over which a returned replica ramps up
 // Primary search.
 constexpr double kSearchGap = 0.1;    // of the workload's SLO time, between two tries at members in turn
+constexpr double kSearchAgain = 0.5;  // of the SLO time, before a member seen as replica is tried again
 // Probe timing.
 constexpr double kFirstPace = 0.2;    // of the smallest bound, until the reports' period is known
 constexpr double kDrift = 0.01;       // by which a smallest figure rises again at each sample
@@ -310,6 +311,8 @@
   for (int k = 0; k < members; ++k) {
     int s = g.members[(g.turn + k) % members];
     if (!usable(s, now) || !room(s, stmt, now)) continue;
+    // A member that has just answered as a replica is none yet.
+    if (now - stores_.replicaAt[s] < terms_.workloads[st.workload].slo * kSearchAgain) continue;
     g.turn = (g.turn + k + 1) % members;
     g.searched = now;
     return s;
@@ -684,6 +687,7 @@
     stores_.healed[s] = now;
   }
   watchExecutions(now, out);
+  probeRound(now, out);  // before reads are placed: they may await the answer
   for (std::size_t g = 0; g < groups_.size(); ++g) {
     std::vector<int>& waiting = groups_[g].waiting;
     for (int stmt : waiting)
@@ -692,7 +696,6 @@
     shed(static_cast<int>(g), now, out);
   }
   std::erase_if(open_, [&](int stmt) { return !stmts_[stmt].open; });
-  probeRound(now, out);
   if (wakeAt_ <= now) {
     Span pace = terms_.tick * (open_.empty() ? 8 : 2);
     wakeAt_ = now + pace;
--- /dev/null
+++ b/tests/scenarios.cpp
@@ -0,0 +1,262 @@
+// Each scenario prints a trace of decisions; tests/traces holds the kept ones.
+#include <cstring>
+
+#include "trace.h"
+
+using namespace reedchute;
+using namespace reedchute::test;
+
+namespace {
+
+const Workload kAny = Bench::work(Level::any), kBounded = Bench::work(Level::bounded);
+const Workload kFresh = Bench::work(Level::fresh), kSession = Bench::work(Level::session);
+const Workload kWrite = Bench::work(Level::write, Effect::deduplicated);
+const Workload kOnce = Bench::work(Level::write, Effect::nonIdempotent);
+
+void curve() {
+  Bench b(Bench::terms({kBounded}));
+  b.list(4);
+  for (int s = 1; s < 4; ++s) b.report(s, 10);
+  b.note("slow start is over: all three young, then store 3 at 130 of 200 ms, then at 210");
+  b.pass(5000);
+  auto ages = [&](double third) { return [&b, third] { b.report(1, 10), b.report(2, 10), b.report(3, third); }; };
+  b.shares(0, 300, 4, ages(10));
+  b.clock = b.clock + ms(500);
+  b.shares(0, 300, 4, ages(130));
+  b.clock = b.clock + ms(500);
+  b.shares(0, 300, 4, ages(210));
+  b.note("back at 150 ms it stays drained: the re-entry gap; at 90 ms it returns, ramping up");
+  b.clock = b.clock + ms(500);
+  b.shares(0, 100, 4, ages(150));
+  b.clock = b.clock + ms(500);
+  b.shares(0, 100, 4, ages(90));
+}
+
+void unmeasured() {
+  Bench b(Bench::terms({kBounded, kAny}));
+  b.probes = true;
+  b.list(3);
+  b.note("a new front probes all; a bounded read awaits the first answer, a read that any may answer does not");
+  b.arrive(0), b.arrive(1);
+  b.round();
+  b.pass(10);
+  b.report(2, 20);
+  b.round();
+  b.probes = false;
+  b.note("all lag: the primary takes bounded reads");
+  b.answer(0, Ending::ok), b.answer(1, Ending::ok);
+  b.clock = b.clock + ms(1000);
+  b.report(1, 900), b.report(2, 900);
+  b.arrive(0);
+  b.round();
+}
+
+void levels() {
+  Bench b(Bench::terms({kAny, kBounded, kSession, kFresh, kWrite}));
+  b.list(2);
+  b.report(1, 20);
+  b.note("any, bounded, session written 500 ms ago: replica; session written 5 ms ago, fresh, write: primary");
+  b.arrive(0), b.arrive(1), b.arrive(2, 2000, 500), b.arrive(2, 2000, 5), b.arrive(3), b.arrive(4);
+  b.round();
+}
+
+void checkedReads() {
+  Terms t = Bench::terms({kFresh, kBounded});
+  t.storesCheck = true, t.secondCopies = false;
+  Bench b(t);
+  b.list(3);
+  b.report(1, 40), b.report(2, 15);
+  b.note("where replicas check, a fresh read waits for the log and tries the most advanced one, then the primary");
+  b.arrive(0);
+  b.pass(25);
+  b.answer(0, Ending::miss, Role::replica, 0, 30);
+  b.round();
+}
+
+void nonIdempotent() {
+  Bench b(Bench::terms({kOnce}));
+  b.list(2);
+  b.note("full never ran: sent again; an error may have: aborted, neither sent again nor rejected");
+  b.arrive(0);
+  b.round();
+  b.answer(0, Ending::full);
+  b.pass(300);
+  b.answer(0, Ending::error, Role::unknown, 1);
+  b.round();
+}
+
+void window() {
+  Bench b(Bench::terms({kWrite}));
+  b.list(2);
+  b.note("an error within the window of 1000 ms: again; past it: aborted, as it may have run");
+  b.arrive(0, 5000);
+  b.round();
+  b.pass(200);
+  b.answer(0, Ending::error, Role::primary);
+  b.pass(10);
+  b.pass(850);
+  b.answer(0, Ending::error, Role::primary, 1);
+  b.pass(10);
+}
+
+void prompt() {
+  Bench b(Bench::terms({kBounded, kWrite}));
+  b.list(1, -1);
+  b.note("nothing can take it: rejected once it can't be in time; one that is out ends by its client's time");
+  b.arrive(0, 2000);
+  b.pass(400);
+  b.listOne(0, true, Listed::up);
+  b.arrive(1, 300);
+  b.pass(300);
+}
+
+void drain() {
+  Bench b(Bench::terms({kAny}));
+  b.list(3);
+  b.note("store 2 is listed as draining, then store 1 vanishes: nothing new goes there");
+  b.list(3, 0, Listed::draining);
+  b.shares(0, 50, 3);
+  b.list(1);
+  b.shares(0, 50, 3);
+}
+
+void cold() {
+  Bench b(Bench::terms({kAny}));
+  b.list(3);
+  b.shares(0, 300, 3);
+  b.note("store 2 starts anew: a small share by age, within this front's part of its budget");
+  b.listOne(2, false, Listed::up, b.clock);
+  b.shares(0, 300, 3);
+  b.clock = b.clock + ms(10000);
+  b.shares(0, 300, 3);
+}
+
+void coldBurst() {
+  Bench b(Bench::terms({kAny}));
+  b.listOne(0, false, Listed::up, b.clock);
+  b.note("danger: a burst at a store that has just started, with nothing known of the usual load");
+  b.quiet = true;
+  int sent = 0;
+  for (int k = 0; k < 40; ++k) {
+    b.last = -1;
+    b.arrive(0);
+    b.round();
+    sent += b.last >= 0;
+  }
+  std::printf("sent at once: %d of 40\n", sent);
+}
+
+void switchOver() {
+  Bench b(Bench::terms({kWrite}));
+  b.list(3);
+  b.note("the primary turns a write away: members are tried in turn; the one that answers as primary is it");
+  b.arrive(0);
+  b.round();
+  b.answer(0, Ending::miss, Role::replica);
+  b.pass(10);
+  b.answer(0, Ending::miss, Role::replica, 1);
+  b.pass(50);
+  b.answer(0, Ending::ok, Role::primary, 2);
+  b.arrive(0);
+  b.round();
+  b.note("danger: an old report of its time as a replica must not unseat it");
+  b.report(2, 900, false);
+  b.arrive(0);
+  b.round();
+  b.note("two claim the role: the one seen in it last has it, and writes out at the other move");
+  b.pass(50);
+  b.report(1, 5, true);
+  b.pass(5);
+  b.answer(2, Ending::cancelled, Role::unknown, 0);
+  b.round();
+}
+
+void hang() {
+  Bench b(Bench::terms({kAny}));
+  b.list(3);
+  b.note("store 1 stays silent: its reads get second copies elsewhere and new ones keep away");
+  std::vector<int> stuck;
+  for (int k = 0; k < 200; ++k) {
+    b.quiet = true;
+    int stmt = b.arrive(0);
+    b.round();
+    b.quiet = false;
+    if (b.last != 1) b.answer(stmt, Ending::ok);
+    if (b.last == 1) stuck.push_back(stmt);
+    b.pass(2);
+  }
+  std::printf("held by store 1: %zu of 200\n", stuck.size());
+}
+
+void fastErrors() {
+  Bench b(Bench::terms({kAny}));
+  b.list(3);
+  b.note("danger: store 1 fails at once, frees its slots and would draw the more");
+  int failed = 0;
+  for (int k = 0; k < 200; ++k) {
+    b.quiet = true;
+    int stmt = b.arrive(0);
+    b.round();
+    b.quiet = false;
+    if (b.last == 1) ++failed, b.answer(stmt, Ending::error), b.last = -1, b.quiet = true, b.pass(15), b.quiet = false;
+    if (b.last >= 0 && b.last != 1) b.answer(stmt, Ending::ok, Role::unknown, b.last == 1 ? 1 : 0);
+    b.clock = b.clock + ms(5);
+  }
+  std::printf("failed at store 1: %d of 200\n", failed);
+}
+
+void longReads() {
+  Workload longRead = kAny;
+  longRead.slo = ms(4000);
+  Bench b(Bench::terms({longRead, kBounded}));
+  b.list(4);
+  b.note("danger: long reads hold up a replica's log; they fill one replica before they take the next");
+  b.quiet = true;
+  std::vector<int> sent(4, 0);
+  for (int k = 0; k < 12; ++k) b.arrive(0), b.last = -1, b.round(), b.last >= 0 ? ++sent[b.last] : 0;
+  for (int s = 0; s < 4; ++s) std::printf("store %d: %d of 12\n", s, sent[s]);
+}
+
+void overload() {
+  Workload low = kWrite, high = kWrite;
+  low.importance = 1, high.importance = 4;
+  Bench b(Bench::terms({low, high}));
+  b.list(1);
+  b.note("past the in-flight limit statements wait; room goes to the important one, the rest is rejected in time");
+  for (int k = 0; k < 10; ++k) b.arrive(0);
+  b.round();
+  b.arrive(1);
+  b.round();
+  b.answer(0, Ending::ok, Role::primary);
+  b.round();
+  b.pass(320);
+}
+
+void askedList() {
+  Terms t = Bench::terms({kAny});
+  t.mustAsk = true;
+  Bench b(t);
+  b.note("where the list must be asked for: at the start, and again after a failure, not at once");
+  b.round();
+  b.rules.listFailed(b.clock);
+  b.pass(3000);
+}
+
+const struct {
+  const char* name;
+  void (*run)();
+} kScenarios[] = {
+    {"curve", curve},       {"unmeasured", unmeasured}, {"levels", levels},         {"checkedReads", checkedReads},
+    {"window", window},     {"prompt", prompt},         {"drain", drain},           {"nonIdempotent", nonIdempotent},
+    {"cold", cold},         {"coldBurst", coldBurst},   {"switchOver", switchOver}, {"hang", hang},
+    {"overload", overload}, {"fastErrors", fastErrors}, {"longReads", longReads},   {"askedList", askedList},
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  for (const auto& scenario : kScenarios)
+    if (argc == 2 && !std::strcmp(argv[1], scenario.name)) return scenario.run(), 0;
+  std::fprintf(stderr, "no such scenario\n");
+  return 1;
+}
--- /dev/null
+++ b/tests/trace.h
@@ -0,0 +1,109 @@
+// Drives the decision module by hand and prints what it decides, in milliseconds and short names.
+#pragma once
+
+#include <cstdio>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "rules.h"
+
+namespace reedchute::test {
+
+inline Span ms(double n) { return Span{static_cast<std::int64_t>(n * 1000)}; }
+
+// One group: store 0 is listed as primary unless a scenario says otherwise; the rest are replicas.
+class Bench : public Writer {
+ public:
+  explicit Bench(Terms terms) : rules(std::move(terms), clock) {}
+
+  static Terms terms(std::vector<Workload> workloads) {
+    Terms t;
+    t.seed = 7, t.fronts = 2, t.maxExecutions = 6, t.zone = 0, t.tick = ms(5), t.workloads = std::move(workloads);
+    t.secondCopies = t.mayCancel = t.mayProbe = t.roleFollows = t.namesComeBack = true;
+    t.maxComeBack = ms(1000), t.connectTimeout = ms(250), t.askEvery = ms(10000);
+    t.coldRamp = ms(10000), t.coldWindow = ms(1000), t.coldFrom = 0.25, t.coldMultiple = 2.5;
+    return t;
+  }
+  static Workload work(Level level, Effect effect = Effect::idempotent, Scope scope = Scope::group) {
+    Workload w;
+    w.level = level, w.effect = effect, w.scope = scope, w.bound = ms(200), w.slo = ms(400), w.window = ms(1000);
+    return w;
+  }
+
+  void list(int stores, int primary = 0, Listed end = Listed::up) {
+    rules.listBegins(true);
+    for (int s = 0; s < stores; ++s) listOne(s, s == primary, s + 1 == stores ? end : Listed::up);
+    rules.listEnds(true, clock);
+  }
+  void listOne(int s, bool primary, Listed listed, std::optional<TimePoint> started = {}, int zone = 0) {
+    rules.entry({s, 0, zone, listed, primary, 1, started}, clock);
+  }
+  // A report that is `age` old when it comes in.
+  void report(int s, double age, bool primary = false) {
+    rules.probed(s, true, {clock - ms(age), primary}, clock);
+  }
+  int arrive(int workload, double patience = 2000, double sinceWrite = 0) {
+    Arrival a;
+    a.workload = workload, a.group = 0, a.giveUpAt = clock + ms(patience), a.sinceWrite = ms(sinceWrite);
+    rules.arrived(next_, a, clock);
+    return next_++;
+  }
+  void answer(int stmt, Ending ending, Role role = Role::unknown, int execution = 0, double age = -1) {
+    Result r;
+    r.execution = execution, r.ending = ending, r.role = role, r.took = ms(20), r.closed = ending == Ending::ok;
+    if (age >= 0) r.position = clock - ms(age);
+    rules.resolved(stmt, r, clock);
+  }
+  void round() { rules.decide(clock, *this); }
+  void pass(double span) {
+    for (TimePoint end = clock + ms(span); clock < end;) {
+      clock = clock + ms(5);
+      rules.woken();
+      round();
+    }
+  }
+  void note(const char* text) { std::printf("-- %s\n", text); }
+  // How many of `count` statements, sent and answered one after the other, go to each store.
+  void shares(int workload, int count, int stores, const std::function<void()>& before = [] {}) {
+    std::vector<int> sent(static_cast<std::size_t>(stores), 0);
+    quiet = true;
+    for (int k = 0; k < count; ++k) {
+      before();
+      last = -1;
+      int stmt = arrive(workload);
+      round();
+      if (last >= 0) ++sent[static_cast<std::size_t>(last)], answer(stmt, Ending::ok);
+      clock = clock + ms(1);
+    }
+    quiet = false;
+    for (int s = 0; s < stores; ++s) std::printf("store %d: %d of %d\n", s, sent[static_cast<std::size_t>(s)], count);
+  }
+
+  void send(int stmt, int store, TimePoint) override {
+    last = store;
+    if (!quiet) say("send", stmt), std::printf(" to %d\n", store);
+  }
+  void cancel(int stmt, int execution) override { say("cancel", stmt), std::printf(" execution %d\n", execution); }
+  void reject(int stmt, Span back) override {
+    say("reject", stmt), std::printf(", come back after %.0f\n", back.seconds() * 1000);
+  }
+  void abort(int stmt) override { say("abort", stmt), std::printf("\n"); }
+  void probe(int store) override {
+    if (probes) std::printf("%6.0f probe %d\n", at(), store);
+  }
+  void watchList() override { std::printf("%6.0f watch the list\n", at()); }
+  void wake(Span) override {}
+
+  TimePoint clock{1'000'000'000};
+  Rules rules;
+  bool quiet = false, probes = false;
+  int last = -1;
+
+ private:
+  double at() const { return (clock - TimePoint{1'000'000'000}).seconds() * 1000; }
+  void say(const char* what, int stmt) { std::printf("%6.0f %s #%d", at(), what, stmt); }
+  int next_ = 0;
+};
+
+}  // namespace reedchute::test
