--- a/src/base/time.h
+++ b/src/base/time.h
@@ -12,7 +12,9 @@
   constexpr auto operator<=>(const Span&) const = default;
   constexpr Span operator+(Span o) const { return {us + o.us}; }
   constexpr Span operator-(Span o) const { return {us - o.us}; }
-  constexpr Span operator*(double k) const { return {static_cast<std::int64_t>(static_cast<double>(us) * k)}; }
+  constexpr Span operator*(double k) const {
+    return {static_cast<std::int64_t>(static_cast<double>(us) * k)};
+  }
   constexpr double operator/(Span o) const { return static_cast<double>(us) / static_cast<double>(o.us); }
   constexpr double seconds() const { return static_cast<double>(us) / 1e6; }
 };
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,11 +1,11 @@
 // The decision module: every decision, table and tuned value of reedchute stands in this file.
 //
-// How to call it: the interface is src/rules.h. Build a Rules with the Terms that the platform hands out, feed
-// it the facts of a round in order (entry, arrived, resolved, probed, ...), then call decide(now, writer) once;
-// all answers go straight into the writer. An instance shares nothing with any other.
+// How to call it: the interface is src/rules.h. Build a Rules with the Terms that the platform hands out,
+// feed it the facts of a round in order (entry, arrived, resolved, probed, ...), then call decide(now,
+// writer) once; all answers go straight into the writer. An instance shares nothing with any other.
 //
-// The design (docs/design.md): lag weights reads by a line between soft and hard, drains at the read's bound with
-// a re-entry gap, and picks the fewest outstanding per unit of weight. Beside it stand six mechanisms:
+// The design (docs/design.md): lag weights reads by a line between soft and hard, drains at the read's bound
+// with a re-entry gap, and picks the fewest outstanding per unit of weight. Beside it stand six mechanisms:
 //   1. primary search                   2. probe timing           3. health from outcomes
 //   4. in-flight limit with shedding    5. time-outs and further executions    6. cold share by age
 #include "rules.h"
@@ -20,46 +20,52 @@
 // The curve, as shares of the read's bound.
 constexpr double kSoft = 0.25;
 constexpr double kFloor = 0.10;
-constexpr double kReentry = 0.60;     // above the age that a report has when it comes in, or none would return
-constexpr double kSpare = 0.25;       // what a replica fit for bounded reads counts for reads that any may answer
-constexpr double kSpill = 0.1;        // of the SLO time that a long read waits before it takes one more replica
-constexpr double kSlowStart = 10;     // SLO times (the smallest) over which a returned replica ramps up
+constexpr double kReentry = 0.60;  // above the age that a report has when it comes in, or none would return
+constexpr double kSpare = 0.25;  // what a replica fit for bounded reads counts for reads that any may answer
+constexpr double kSpill = 0.1;   // of the SLO time that a long read waits before it takes one more replica
+constexpr double kSlowStart = 10;  // SLO times (the smallest) over which a returned replica ramps up
 // Primary search.
 constexpr double kSearchGap = 0.1;    // of the workload's SLO time, between two tries at members in turn
 constexpr double kSearchAgain = 0.5;  // of the SLO time, before a member seen as replica is tried again
 // Probe timing.
-constexpr double kFirstPace = 0.2;    // of the smallest bound, until the reports' period is known
-constexpr double kDrift = 0.01;       // by which a smallest figure rises again at each sample
-constexpr double kLagPace = 0.25;     // of a lagging replica's lag: it can't be fresh much sooner
-constexpr double kSlowestPace = 10;   // smallest bounds between two probes of a store that is wanted
-constexpr double kLead = 1.5;         // measured replicas wanted for each bounded read in flight
+constexpr double kFirstPace = 0.2;   // of the smallest bound, until the reports' period is known
+constexpr double kDrift = 0.01;      // by which a smallest figure rises again at each sample
+constexpr double kLagPace = 0.25;    // of a lagging replica's lag: it can't be fresh much sooner
+constexpr double kSlowestPace = 10;  // smallest bounds between two probes of a store that is wanted
+constexpr double kLead = 1.5;        // measured replicas wanted for each bounded read in flight
 // Health.
-constexpr double kLearn = 0.1;        // weight of one outcome in a running share
-constexpr double kForget = 8;         // SLO times after which a bad share is mostly forgotten
-constexpr double kBlockCap = 8;       // connect time-outs: the longest block
+constexpr double kLearn = 0.1;   // weight of one outcome in a running share
+constexpr double kForget = 8;    // SLO times after which a bad share is mostly forgotten
+constexpr double kBlockCap = 8;  // connect time-outs: the longest block
 // In-flight limit.
 constexpr double kFirstLimit = 8;
 constexpr double kCut = 0.7;
-constexpr double kLagCut = 0.25;      // of the bound: more lag than that cuts the limit too
-constexpr double kSlowAnswer = 0.4;   // of the SLO time: an answer slower than that cuts the limit
-constexpr double kReadShare = 0.75;   // of the primary's limit that reads may fill
-constexpr double kLongRoom = 2;       // of a replica's limit that long reads may fill where they are packed
-constexpr double kStart = 1.0;         // usual times that must be left before the SLO time for a start to be in time
-constexpr double kWorthWaiting = 0.5; // late share from which a late statement still waits for room
+constexpr double kLagCut = 0.25;     // of the bound: more lag than that cuts the limit too
+constexpr double kSlowAnswer = 0.4;  // of the SLO time: an answer slower than that cuts the limit
+constexpr double kReadShare = 0.75;  // of the primary's limit that reads may fill
+constexpr double kLongRoom = 2;      // of a replica's limit that long reads may fill where they are packed
+constexpr double kStart = 1.0;  // usual times that must be left before the SLO time for a start to be in time
+constexpr double kWorthWaiting = 0.5;  // late share from which a late statement still waits for room
 // Time-outs.
-constexpr double kSilent = 8;         // answers that a store should have given since its last, to count as silent
-constexpr double kOverdue = 3;        // usual times, and
-constexpr double kOverdueShare = 0.5; // of the SLO time: an execution older than both is overdue
-constexpr double kFurther = 0.05;     // second copies earned by each statement
+constexpr double kSilent = 8;   // answers that a store should have given since its last, to count as silent
+constexpr double kOverdue = 3;  // usual times, and
+constexpr double kOverdueShare = 0.5;  // of the SLO time: an execution older than both is overdue
+constexpr double kFurther = 0.05;      // second copies earned by each statement
 constexpr double kFurtherCap = 16;
 // Cold share.
-constexpr double kColdHeadroom = 0.4; // of the multiple at which a cold store falls over
-constexpr double kColdBurst = 0.25;   // of the window in which that is judged
+constexpr double kColdHeadroom = 0.4;  // of the multiple at which a cold store falls over
+constexpr double kColdBurst = 0.25;    // of the window in which that is judged
 
-double unit(std::ranlux24_base& chance) { return (static_cast<double>(chance()) + 0.5) / 16777216.0; }
+double unit(std::ranlux24_base& chance) {
+  return (static_cast<double>(chance()) + 0.5) / 16777216.0;
+}
 
-Span smaller(Span a, Span b) { return a < b ? a : b; }
-Span larger(Span a, Span b) { return a < b ? b : a; }
+Span smaller(Span a, Span b) {
+  return a < b ? a : b;
+}
+Span larger(Span a, Span b) {
+  return a < b ? b : a;
+}
 
 }  // namespace
 
@@ -67,11 +73,13 @@
   if (terms_.workloads.empty()) throw std::invalid_argument("no workloads are given");
   if (terms_.tick <= Span{}) throw std::invalid_argument("the tick must be above 0");
   if (terms_.maxExecutions < 1) throw std::invalid_argument("no execution is allowed");
-  if (!(terms_.coldFrom > 0 && terms_.coldFrom <= 1)) throw std::invalid_argument("the cold share must be in (0, 1]");
+  if (!(terms_.coldFrom > 0 && terms_.coldFrom <= 1))
+    throw std::invalid_argument("the cold share must be in (0, 1]");
   smallestBound_ = smallestSlo_ = terms_.workloads[0].slo;
   for (const Workload& w : terms_.workloads) {
     if (w.slo <= Span{}) throw std::invalid_argument("a workload has no SLO time");
-    if (w.level == Level::bounded && w.bound <= Span{}) throw std::invalid_argument("a bounded read has no bound");
+    if (w.level == Level::bounded && w.bound <= Span{})
+      throw std::invalid_argument("a bounded read has no bound");
     smallestSlo_ = smaller(smallestSlo_, w.slo);
     typical_.push_back(w.slo * 0.25);
     least_.push_back(w.slo * 0.25);
@@ -84,7 +92,8 @@
   if (terms_.mustAsk) askAt_ = now;
 }
 
-// ---- the list -------------------------------------------------------------------------------------------------
+// ---- the list
+// -------------------------------------------------------------------------------------------------
 
 void Rules::listBegins(bool whole) {
   if (whole) std::fill(stores_.inList.begin(), stores_.inList.end(), 0);
@@ -138,7 +147,8 @@
   askBackoff_ = smaller(askBackoff_ * 2, terms_.askEvery * 0.5);
 }
 
-// ---- the design: positions, curve, drain, choice ----------------------------------------------------------------
+// ---- the design: positions, curve, drain, choice
+// ----------------------------------------------------------------
 
 void Rules::learnPosition(int s, TimePoint position, TimePoint now) {
   if (position < stores_.position[s]) return;
@@ -173,11 +183,15 @@
 bool Rules::measured(int s, const Stmt& st, TimePoint now) const {
   const Workload& w = terms_.workloads[st.workload];
   switch (w.level) {
-    case Level::any: return true;
-    case Level::bounded: return !stores_.drained[s][st.workload] && curve(s, w, now) > 0;
+    case Level::any:
+      return true;
+    case Level::bounded:
+      return !stores_.drained[s][st.workload] && curve(s, w, now) > 0;
     case Level::session:
-    case Level::fresh: return stores_.position[s] >= st.needs;
-    case Level::write: return false;
+    case Level::fresh:
+      return stores_.position[s] >= st.needs;
+    case Level::write:
+      return false;
   }
   return false;
 }
@@ -235,10 +249,12 @@
   GroupState& g = groups_[st.group];
   std::vector<int> fit;
   bool known = false, awaited = false;
-  // Danger: a replica may hold up its log while it runs a long read; spread over all, they leave none fresh. They
-  // fill members in list order, which is the same at every front, and wait a while before they take one more.
+  // Danger: a replica may hold up its log while it runs a long read; spread over all, they leave none fresh.
+  // They fill members in list order, which is the same at every front, and wait a while before they take one
+  // more.
   bool packed = longRead(st);
-  int taken = packed ? 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)) : static_cast<int>(g.members.size());
+  int taken = packed ? 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill))
+                     : static_cast<int>(g.members.size());
   for (int s : g.members) {
     if (s == g.primary || !usable(s, now)) continue;
     if (--taken < 0) break;
@@ -262,7 +278,8 @@
   if (terms_.storesCheck && w.level != Level::write && w.level != Level::any && st.tries == 0) {
     int best = -1;
     for (int s : g.members) {
-      bool lagging = std::all_of(stores_.drained[s].begin(), stores_.drained[s].end(), [](char d) { return d; });
+      bool lagging =
+          std::all_of(stores_.drained[s].begin(), stores_.drained[s].end(), [](char d) { return d; });
       if (s == g.primary || lagging || !usable(s, now) || !room(s, stmt, now)) continue;
       if (best < 0 || stores_.position[s] > stores_.position[best]) best = s;
     }
@@ -272,7 +289,8 @@
   return w.level == Level::write ? searchTurn(stmt, now) : -1;
 }
 
-// ---- 1. primary search --------------------------------------------------------------------------------------------
+// ---- 1. primary search
+// --------------------------------------------------------------------------------------------
 
 void Rules::namePrimary(int g, int s, bool byList, TimePoint now) {
   GroupState& group = groups_[g];
@@ -320,7 +338,8 @@
   return -1;
 }
 
-// ---- 2. probe timing ------------------------------------------------------------------------------------------------
+// ---- 2. probe timing
+// ------------------------------------------------------------------------------------------------
 
 // Reports are renewed at a steady pace: learn it, and the age a report has at the earliest.
 void Rules::learnRefresh(int s, TimePoint position, TimePoint now) {
@@ -332,16 +351,21 @@
   }
   stores_.reported[s] = position;
   if (age >= smallestBound_) {
-    // Danger: probes at the reports' own pace may meet each one at its oldest and never see the replica fresh.
+    // Danger: probes at the reports' own pace may meet each one at its oldest and never see the replica
+    // fresh.
     bool phase = age < (refresh_ + reportAge_) * 1.5;
-    stores_.probeDue[s] = phase ? now + pace : now + smaller(larger(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
+    stores_.probeDue[s] =
+        phase ? now + pace : now + smaller(larger(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
     return;
   }
   reportAge_ = smaller(reportAge_ * (1 + kDrift), age);
-  // Reports of a store that is catching up or falling behind stand closer or further apart than they are made.
+  // Reports of a store that is catching up or falling behind stand closer or further apart than they are
+  // made.
   Span gap = before > kNever ? position - before : refresh_;
-  if (gap < refresh_ && gap > pace) refresh_ = refresh_ - (refresh_ - gap) * kLearn;
-  else if (gap > refresh_ && gap < refresh_ * 1.5) refresh_ = refresh_ + (gap - refresh_) * kLearn;
+  if (gap < refresh_ && gap > pace)
+    refresh_ = refresh_ - (refresh_ - gap) * kLearn;
+  else if (gap > refresh_ && gap < refresh_ * 1.5)
+    refresh_ = refresh_ + (gap - refresh_) * kLearn;
   stores_.probeDue[s] = position + refresh_ + reportAge_ * (1 + kFirstPace);
 }
 
@@ -353,7 +377,8 @@
     double inFlight = g.boundedRate * typical_[0].seconds();
     int fresh = 0;
     for (int s : g.members) fresh += s != g.primary && now - stores_.position[s] < smallestBound_ * kReentry;
-    bool wanted = unplaced || (g.boundedRate * smallestBound_.seconds() >= 0.5 && fresh < 1 + kLead * inFlight);
+    bool wanted =
+        unplaced || (g.boundedRate * smallestBound_.seconds() >= 0.5 && fresh < 1 + kLead * inFlight);
     for (int s : g.members) {
       bool first = stores_.position[s] == kNever;
       if (stores_.probing[s] || stores_.listed[s] != Listed::up || now < stores_.probeDue[s]) continue;
@@ -380,7 +405,8 @@
   }
 }
 
-// ---- 3. health from outcomes ------------------------------------------------------------------------------------------
+// ---- 3. health from outcomes
+// ------------------------------------------------------------------------------------------
 
 bool Rules::usable(int s, TimePoint now) const {
   return stores_.listed[s] == Listed::up && stores_.blockedUntil[s] <= now;
@@ -422,17 +448,20 @@
   }
 }
 
-// ---- 4. in-flight limit with shedding -----------------------------------------------------------------------------------
+// ---- 4. in-flight limit with shedding
+// -----------------------------------------------------------------------------------
 
 bool Rules::room(int s, int stmt, TimePoint now) const {
   const Stmt& st = stmts_[stmt];
   for (const Execution& e : st.executions)
     if (e.out && e.store == s) return false;
-  bool current = terms_.workloads[st.workload].level == Level::write || terms_.workloads[st.workload].level == Level::fresh;
+  bool current = terms_.workloads[st.workload].level == Level::write ||
+                 terms_.workloads[st.workload].level == Level::fresh;
   double share = s == groups_[st.group].primary && !current ? kReadShare : longRead(st) ? kLongRoom : 1;
   const Workload& w = terms_.workloads[st.workload];
   if (w.level == Level::bounded && s != groups_[st.group].primary) {
-    // Danger: weights only share out load; when all replicas lag a little under it, all of them soon lag too much.
+    // Danger: weights only share out load; when all replicas lag a little under it, all of them soon lag too
+    // much.
     share *= line(larger(Span{}, stores_.lag[s] - reportAge_), w.bound);
   }
   if (stores_.out[s] >= std::max(1.0, std::floor(stores_.limit[s] * share))) return false;
@@ -497,7 +526,8 @@
   for (std::size_t k = 0; k < st.executions.size(); ++k)
     if (st.executions[k].out && terms_.mayCancel) out.cancel(stmt, static_cast<int>(k));
   if (harmless(st)) {
-    Span back = terms_.namesComeBack ? smaller(terms_.maxComeBack, terms_.workloads[st.workload].slo * 0.5) : Span{};
+    Span back =
+        terms_.namesComeBack ? smaller(terms_.maxComeBack, terms_.workloads[st.workload].slo * 0.5) : Span{};
     out.reject(stmt, back);
   } else {
     out.abort(stmt);
@@ -505,7 +535,8 @@
   st.open = false;
 }
 
-// ---- 5. time-outs and further executions ----------------------------------------------------------------------------------
+// ---- 5. time-outs and further executions
+// ----------------------------------------------------------------------------------
 
 bool Rules::isOut(const Stmt& st) const {
   return std::any_of(st.executions.begin(), st.executions.end(), [](const Execution& e) { return e.out; });
@@ -515,7 +546,8 @@
 bool Rules::harmless(const Stmt& st) const {
   const Workload& w = terms_.workloads[st.workload];
   if (w.effect == Effect::idempotent) return true;
-  bool ran = std::any_of(st.executions.begin(), st.executions.end(), [](const Execution& e) { return e.mayHaveRun; });
+  bool ran = std::any_of(st.executions.begin(), st.executions.end(),
+                         [](const Execution& e) { return e.mayHaveRun; });
   return !ran || (w.effect == Effect::deduplicated && w.scope == Scope::everywhere);
 }
 
@@ -527,7 +559,7 @@
   if (w.effect == Effect::idempotent) return true;
   for (const Execution& e : st.executions) {
     if (!e.mayHaveRun) continue;
-    if (w.effect == Effect::nonIdempotent) return false;  // danger: a second effect
+    if (w.effect == Effect::nonIdempotent) return false;       // danger: a second effect
     if (now + terms_.tick - e.sent >= w.window) return false;  // danger: the store has forgotten the mark
     if (w.scope == Scope::zone && (s < 0 || stores_.zone[s] != stores_.zone[e.store])) return false;
     if (w.scope == Scope::group && s >= 0 && stores_.group[s] != stores_.group[e.store]) return false;
@@ -535,13 +567,15 @@
   return true;
 }
 
-// How many answers a store owes, by what its executions usually take. Danger: a store that takes work and answers
-// nothing looks like any other; it shows only here, and the sooner the more it holds.
+// How many answers a store owes, by what its executions usually take. Danger: a store that takes work and
+// answers nothing looks like any other; it shows only here, and the sooner the more it holds.
 std::vector<double> Rules::answersMissing(TimePoint now) const {
   std::vector<double> missing(stores_.group.size(), 0);
   for (int stmt : open_)
     for (const Execution& e : stmts_[stmt].executions)
-      if (e.out) missing[e.store] += (now - std::max(stores_.heard[e.store], e.sent)) / typical_[stmts_[stmt].workload];
+      if (e.out)
+        missing[e.store] +=
+            (now - std::max(stores_.heard[e.store], e.sent)) / typical_[stmts_[stmt].workload];
   return missing;
 }
 
@@ -565,9 +599,10 @@
       if (!e.out || e.cancelled) continue;
       Span age = now - e.sent, usual = typical_[st.workload];
       bool silent = missing[e.store] > kSilent && age > usual;
-      bool moved = w.level == Level::write && g.primary >= 0 && g.primary != e.store && g.primarySince > e.sent;
-      bool overdue = w.effect == Effect::idempotent &&
-                     (silent || age > larger(usual * kOverdue, w.slo * kOverdueShare));
+      bool moved =
+          w.level == Level::write && g.primary >= 0 && g.primary != e.store && g.primarySince > e.sent;
+      bool overdue =
+          w.effect == Effect::idempotent && (silent || age > larger(usual * kOverdue, w.slo * kOverdueShare));
       if (terms_.mayCancel && (moved || (overdue && silent && !terms_.secondCopies))) {
         st.executions[k].cancelled = true;
         out.cancel(stmt, static_cast<int>(k));
@@ -582,7 +617,8 @@
   }
 }
 
-// ---- 6. cold share by age ---------------------------------------------------------------------------------------------------
+// ---- 6. cold share by age
+// ---------------------------------------------------------------------------------------------------
 
 double Rules::warmth(int s, TimePoint now) const {
   if (stores_.started[s] == kNever || now - stores_.started[s] >= terms_.coldRamp) return 1;
@@ -590,8 +626,8 @@
   return terms_.coldFrom + (1 - terms_.coldFrom) * age;
 }
 
-// What this front may send to a cold store, in store seconds a second. Danger: fronts don't see one another, so
-// each keeps to its own part, measured by what it sends to a member of that group on average.
+// What this front may send to a cold store, in store seconds a second. Danger: fronts don't see one another,
+// so each keeps to its own part, measured by what it sends to a member of that group on average.
 double Rules::coldRate(int s, TimePoint now) const {
   const GroupState& g = groups_[stores_.group[s]];
   double members = std::max<double>(1, static_cast<double>(g.members.size()));
@@ -601,7 +637,8 @@
 void Rules::fillCold(int s, TimePoint now) {
   if (stores_.group[s] < 0 || warmth(s, now) >= 1) return;
   double rate = coldRate(s, now), dt = (now - stores_.coldFilled[s]).seconds();
-  stores_.coldBudget[s] = std::min(stores_.coldBudget[s] + rate * dt, rate * terms_.coldWindow.seconds() * kColdBurst);
+  stores_.coldBudget[s] =
+      std::min(stores_.coldBudget[s] + rate * dt, rate * terms_.coldWindow.seconds() * kColdBurst);
   stores_.coldFilled[s] = now;
 }
 
@@ -614,7 +651,8 @@
   out.send(stmt, s, st.giveUpAt);
 }
 
-// ---- facts and the round ----------------------------------------------------------------------------------------------------
+// ---- facts and the round
+// ----------------------------------------------------------------------------------------------------
 
 void Rules::arrived(int stmt, const Arrival& a, TimePoint now) {
   if (static_cast<int>(stmts_.size()) <= stmt) stmts_.resize(stmt + 1);
@@ -625,7 +663,8 @@
   st.open = true, st.arrived = now, st.giveUpAt = a.giveUpAt;
   const Workload& w = terms_.workloads[a.workload];
   if (w.level == Level::fresh) st.needs = now;
-  // At the most advanced replica a fresh read is turned away until the log has come; it waits that long first.
+  // At the most advanced replica a fresh read is turned away until the log has come; it waits that long
+  // first.
   if (w.level == Level::fresh && terms_.storesCheck) st.notBefore = now + terms_.tick * 4;
   if (w.level == Level::session && terms_.tokensCarried) {
     if (a.sinceWrite && *a.sinceWrite > Span{}) st.needs = now - *a.sinceWrite + terms_.tick;
@@ -634,7 +673,8 @@
     st.needs = it == sessions_.end() ? sessionFloor_ : it->second;
   }
   GroupState& g = groups_[a.group];
-  double tau = terms_.coldRamp.seconds() * 0.25, fade = std::exp(-std::max(0.0, (now - std::max(g.rated, now - Span{100'000'000})).seconds()) / tau);
+  double tau = terms_.coldRamp.seconds() * 0.25,
+         fade = std::exp(-std::max(0.0, (now - std::max(g.rated, now - Span{100'000'000})).seconds()) / tau);
   g.rated = now;
   g.workRate = g.workRate * fade + least_[a.workload].seconds() / tau;
   g.boundedRate = g.boundedRate * fade + (w.level == Level::bounded ? 1 / tau : 0);
@@ -649,13 +689,14 @@
   const Workload& w = terms_.workloads[st.workload];
   if (e.out) --stores_.out[e.store];
   e.out = false;
-  e.mayHaveRun = !(r.ending == Ending::full || r.ending == Ending::connectFailed || r.ending == Ending::moot ||
-                   r.ending == Ending::miss);
+  e.mayHaveRun = !(r.ending == Ending::full || r.ending == Ending::connectFailed ||
+                   r.ending == Ending::moot || r.ending == Ending::miss);
   learnRole(e.store, r.ending == Ending::miss && w.level == Level::write ? Role::replica : r.role, now);
   if (r.position && r.role == Role::replica) learnPosition(e.store, *r.position, now);
   learnHealth(e.store, w, r, e.sent, now);
   if (r.ending == Ending::ok) {
-    least_[st.workload] = smaller(least_[st.workload] * (1 + kDrift), r.took * 0.5 + least_[st.workload] * 0.5);
+    least_[st.workload] =
+        smaller(least_[st.workload] * (1 + kDrift), r.took * 0.5 + least_[st.workload] * 0.5);
     if (w.level == Level::write && r.position && !terms_.tokensCarried) {
       TimePoint& last = sessions_.try_emplace(st.session, kNever).first->second;
       last = std::max(last, *r.position);
@@ -670,9 +711,13 @@
   if (!isOut(st)) groups_[st.group].waiting.push_back(stmt);
 }
 
-void Rules::gone(int stmt) { stmts_[stmt].open = false; }
+void Rules::gone(int stmt) {
+  stmts_[stmt].open = false;
+}
 
-void Rules::woken() { wakeAt_ = kNever; }
+void Rules::woken() {
+  wakeAt_ = kNever;
+}
 
 void Rules::decide(TimePoint now, Writer& out) {
   if (terms_.mustAsk && askAt_ > kNever && askAt_ <= now) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -143,7 +143,7 @@
   std::vector<char> inList;
   // lag
   std::vector<TimePoint> position;
-  std::vector<Span> lag;  // as it was when the position came in
+  std::vector<Span> lag;                   // as it was when the position came in
   std::vector<std::vector<char>> drained;  // a flag a workload, as each has its own bound
   std::vector<std::vector<TimePoint>> returned;
   // role
@@ -174,9 +174,9 @@
   int turn = 0;
   TimePoint searched = kNever;
   TimePoint primarySince = kNever;
-  double workRate = 0;      // offered to this front, in store seconds a second
-  double boundedRate = 0;   // bounded and session reads a second
-  double doneRate = 0;      // completions a second
+  double workRate = 0;     // offered to this front, in store seconds a second
+  double boundedRate = 0;  // bounded and session reads a second
+  double doneRate = 0;     // completions a second
   TimePoint rated = kNever;
 };
 
@@ -245,13 +245,13 @@
   Stores stores_;
   std::vector<GroupState> groups_;
   std::vector<Stmt> stmts_;
-  std::vector<int> open_;        // statements that are owed a final answer, oldest first
-  std::vector<Span> typical_;    // a workload's usual time from send to answer
-  std::vector<Span> least_;      // and about the least that it takes
+  std::vector<int> open_;      // statements that are owed a final answer, oldest first
+  std::vector<Span> typical_;  // a workload's usual time from send to answer
+  std::vector<Span> least_;    // and about the least that it takes
   std::unordered_map<std::uint64_t, TimePoint> sessions_;  // last commit of a session
   TimePoint sessionFloor_ = kNever;
   double furtherBudget_ = 0;
-  Span refresh_, reportAge_;     // of reports: their period, and their age when they can first be seen
+  Span refresh_, reportAge_;  // of reports: their period, and their age when they can first be seen
   Span smallestBound_, smallestSlo_;
   TimePoint askAt_ = kNever;
   Span askBackoff_;
--- a/src/wire/adapter.cpp
+++ b/src/wire/adapter.cpp
@@ -36,16 +36,26 @@
 
 Ending endingOf(std::int64_t code) {
   switch (code) {
-    case 200: return Ending::ok;
-    case 404: return Ending::miss;
-    case 503: return Ending::full;
-    case 500: return Ending::error;
-    case 504: return Ending::timeout;
-    case 502: return Ending::connectFailed;
-    case 598: return Ending::reset;
-    case 499: return Ending::cancelled;
-    case 410: return Ending::moot;
-    default: throw Malformed("unknown ending: " + std::to_string(code));
+    case 200:
+      return Ending::ok;
+    case 404:
+      return Ending::miss;
+    case 503:
+      return Ending::full;
+    case 500:
+      return Ending::error;
+    case 504:
+      return Ending::timeout;
+    case 502:
+      return Ending::connectFailed;
+    case 598:
+      return Ending::reset;
+    case 499:
+      return Ending::cancelled;
+    case 410:
+      return Ending::moot;
+    default:
+      throw Malformed("unknown ending: " + std::to_string(code));
   }
 }
 
@@ -91,7 +101,8 @@
   void wake(Span after) override { begin("SLEEP").add(1).add(std::min(after.us, kLongestSleep)).end(); }
 
   void fault(std::string message) {
-    std::replace_if(message.begin(), message.end(), [](char c) { return c == '\t' || c == '\n'; }, ' ');
+    std::replace_if(
+        message.begin(), message.end(), [](char c) { return c == '\t' || c == '\n'; }, ' ');
     begin("INTERNAL_ERROR").add(message).end();
   }
 
@@ -181,7 +192,8 @@
     workloads.push_back(p.need(at + "name"));
     Workload w;
     w.level = levelOf(levels[k]);
-    if (k < bounds.size()) w.bound = Span{static_cast<std::int64_t>(wire::number(bounds[k], "extra.lag_allowed"))};
+    if (k < bounds.size())
+      w.bound = Span{static_cast<std::int64_t>(wire::number(bounds[k], "extra.lag_allowed"))};
     w.effect = effectOf(p.need(at + "repeat"));
     if (w.effect == Effect::deduplicated) {
       w.scope = scopeOf(p.need(at + "key_scope"));
@@ -349,7 +361,8 @@
   std::string how = line_.text(2, "how");
   line_.integer(3, "version");
   if (how == "broken") return in.rules().listFailed(now_);
-  if (how != "patch" && how != "whole" && how != "stale_copy") throw Malformed("unknown list kind '" + how + "'");
+  if (how != "patch" && how != "whole" && how != "stale_copy")
+    throw Malformed("unknown list kind '" + how + "'");
   std::size_t bank = static_cast<std::size_t>(line_.integer(4, "bank", 0, kSheets - 1));
   if (!sheetKnown_[bank]) throw Malformed("list " + std::to_string(bank) + " was never set up");
   in.rules().listBegins(how != "patch");
@@ -375,7 +388,8 @@
   if (in.stmts.find(id) >= 0) throw Malformed("a statement came in twice: " + std::to_string(id));
   Arrival a;
   line_.maybeNumber(3, "expected");
-  if (auto ms = line_.maybeNumber(4, "last_write_ms")) a.sinceWrite = Span{static_cast<std::int64_t>(*ms * 1000)};
+  if (auto ms = line_.maybeNumber(4, "last_write_ms"))
+    a.sinceWrite = Span{static_cast<std::int64_t>(*ms * 1000)};
   a.workload = placeOf(in.workloads, line_.raw(5));
   if (a.workload < 0) throw Malformed("unknown lane '" + std::string(line_.raw(5)) + "'");
   line_.maybeInteger(6, "bitmap");
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -19,7 +19,9 @@
   for (int s = 1; s < 4; ++s) b.report(s, 10);
   b.note("slow start is over: all three young, then store 3 at 130 of 200 ms, then at 210");
   b.pass(5000);
-  auto ages = [&](double third) { return [&b, third] { b.report(1, 10), b.report(2, 10), b.report(3, third); }; };
+  auto ages = [&](double third) {
+    return [&b, third] { b.report(1, 10), b.report(2, 10), b.report(3, third); };
+  };
   b.shares(0, 300, 4, ages(10));
   b.clock = b.clock + ms(500);
   b.shares(0, 300, 4, ages(130));
@@ -36,7 +38,8 @@
   Bench b(Bench::terms({kBounded, kAny}));
   b.probes = true;
   b.list(3);
-  b.note("a new front probes all; a bounded read awaits the first answer, a read that any may answer does not");
+  b.note(
+      "a new front probes all; a bounded read awaits the first answer, a read that any may answer does not");
   b.arrive(0), b.arrive(1);
   b.round();
   b.pass(10);
@@ -55,7 +58,8 @@
   Bench b(Bench::terms({kAny, kBounded, kSession, kFresh, kWrite}));
   b.list(2);
   b.report(1, 20);
-  b.note("any, bounded, session written 500 ms ago: replica; session written 5 ms ago, fresh, write: primary");
+  b.note(
+      "any, bounded, session written 500 ms ago: replica; session written 5 ms ago, fresh, write: primary");
   b.arrive(0), b.arrive(1), b.arrive(2, 2000, 500), b.arrive(2, 2000, 5), b.arrive(3), b.arrive(4);
   b.round();
 }
@@ -66,7 +70,9 @@
   Bench b(t);
   b.list(3);
   b.report(1, 40), b.report(2, 15);
-  b.note("where replicas check, a fresh read waits for the log and tries the most advanced one, then the primary");
+  b.note(
+      "where replicas check, a fresh read waits for the log and tries the most advanced one, then the "
+      "primary");
   b.arrive(0);
   b.pass(25);
   b.answer(0, Ending::miss, Role::replica, 0, 30);
@@ -198,7 +204,8 @@
     int stmt = b.arrive(0);
     b.round();
     b.quiet = false;
-    if (b.last == 1) ++failed, b.answer(stmt, Ending::error), b.last = -1, b.quiet = true, b.pass(15), b.quiet = false;
+    if (b.last == 1)
+      ++failed, b.answer(stmt, Ending::error), b.last = -1, b.quiet = true, b.pass(15), b.quiet = false;
     if (b.last >= 0 && b.last != 1) b.answer(stmt, Ending::ok, Role::unknown, b.last == 1 ? 1 : 0);
     b.clock = b.clock + ms(5);
   }
@@ -222,7 +229,9 @@
   low.importance = 1, high.importance = 4;
   Bench b(Bench::terms({low, high}));
   b.list(1);
-  b.note("past the in-flight limit statements wait; room goes to the important one, the rest is rejected in time");
+  b.note(
+      "past the in-flight limit statements wait; room goes to the important one, the rest is rejected in "
+      "time");
   for (int k = 0; k < 10; ++k) b.arrive(0);
   b.round();
   b.arrive(1);
@@ -246,10 +255,22 @@
   const char* name;
   void (*run)();
 } kScenarios[] = {
-    {"curve", curve},       {"unmeasured", unmeasured}, {"levels", levels},         {"checkedReads", checkedReads},
-    {"window", window},     {"prompt", prompt},         {"drain", drain},           {"nonIdempotent", nonIdempotent},
-    {"cold", cold},         {"coldBurst", coldBurst},   {"switchOver", switchOver}, {"hang", hang},
-    {"overload", overload}, {"fastErrors", fastErrors}, {"longReads", longReads},   {"askedList", askedList},
+    {"curve", curve},
+    {"unmeasured", unmeasured},
+    {"levels", levels},
+    {"checkedReads", checkedReads},
+    {"window", window},
+    {"prompt", prompt},
+    {"drain", drain},
+    {"nonIdempotent", nonIdempotent},
+    {"cold", cold},
+    {"coldBurst", coldBurst},
+    {"switchOver", switchOver},
+    {"hang", hang},
+    {"overload", overload},
+    {"fastErrors", fastErrors},
+    {"longReads", longReads},
+    {"askedList", askedList},
 };
 
 }  // namespace
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -10,7 +10,9 @@
 
 namespace reedchute::test {
 
-inline Span ms(double n) { return Span{static_cast<std::int64_t>(n * 1000)}; }
+inline Span ms(double n) {
+  return Span{static_cast<std::int64_t>(n * 1000)};
+}
 
 // One group: store 0 is listed as primary unless a scenario says otherwise; the rest are replicas.
 class Bench : public Writer {
@@ -19,7 +21,8 @@
 
   static Terms terms(std::vector<Workload> workloads) {
     Terms t;
-    t.seed = 7, t.fronts = 2, t.maxExecutions = 6, t.zone = 0, t.tick = ms(5), t.workloads = std::move(workloads);
+    t.seed = 7, t.fronts = 2, t.maxExecutions = 6, t.zone = 0, t.tick = ms(5),
+    t.workloads = std::move(workloads);
     t.secondCopies = t.mayCancel = t.mayProbe = t.roleFollows = t.namesComeBack = true;
     t.maxComeBack = ms(1000), t.connectTimeout = ms(250), t.askEvery = ms(10000);
     t.coldRamp = ms(10000), t.coldWindow = ms(1000), t.coldFrom = 0.25, t.coldMultiple = 2.5;
@@ -27,7 +30,8 @@
   }
   static Workload work(Level level, Effect effect = Effect::idempotent, Scope scope = Scope::group) {
     Workload w;
-    w.level = level, w.effect = effect, w.scope = scope, w.bound = ms(200), w.slo = ms(400), w.window = ms(1000);
+    w.level = level, w.effect = effect, w.scope = scope, w.bound = ms(200), w.slo = ms(400),
+    w.window = ms(1000);
     return w;
   }
 
@@ -51,7 +55,8 @@
   }
   void answer(int stmt, Ending ending, Role role = Role::unknown, int execution = 0, double age = -1) {
     Result r;
-    r.execution = execution, r.ending = ending, r.role = role, r.took = ms(20), r.closed = ending == Ending::ok;
+    r.execution = execution, r.ending = ending, r.role = role, r.took = ms(20),
+    r.closed = ending == Ending::ok;
     if (age >= 0) r.position = clock - ms(age);
     rules.resolved(stmt, r, clock);
   }
@@ -65,7 +70,8 @@
   }
   void note(const char* text) { std::printf("-- %s\n", text); }
   // How many of `count` statements, sent and answered one after the other, go to each store.
-  void shares(int workload, int count, int stores, const std::function<void()>& before = [] {}) {
+  void shares(
+      int workload, int count, int stores, const std::function<void()>& before = [] {}) {
     std::vector<int> sent(static_cast<std::size_t>(stores), 0);
     quiet = true;
     for (int k = 0; k < count; ++k) {
@@ -77,14 +83,17 @@
       clock = clock + ms(1);
     }
     quiet = false;
-    for (int s = 0; s < stores; ++s) std::printf("store %d: %d of %d\n", s, sent[static_cast<std::size_t>(s)], count);
+    for (int s = 0; s < stores; ++s)
+      std::printf("store %d: %d of %d\n", s, sent[static_cast<std::size_t>(s)], count);
   }
 
   void send(int stmt, int store, TimePoint) override {
     last = store;
     if (!quiet) say("send", stmt), std::printf(" to %d\n", store);
   }
-  void cancel(int stmt, int execution) override { say("cancel", stmt), std::printf(" execution %d\n", execution); }
+  void cancel(int stmt, int execution) override {
+    say("cancel", stmt), std::printf(" execution %d\n", execution);
+  }
   void reject(int stmt, Span back) override {
     say("reject", stmt), std::printf(", come back after %.0f\n", back.seconds() * 1000);
   }
