--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -196,6 +196,12 @@
   return false;
 }
 
+bool Rules::boundedDrained(int s) const {
+  for (std::size_t w = 0; w < terms_.workloads.size(); ++w)
+    if (terms_.workloads[w].level == Level::bounded && !stores_.drained[s][w]) return false;
+  return true;
+}
+
 // Is the replica of use to bounded reads just now?
 bool Rules::boundedAt(int s, TimePoint now) const {
   for (std::size_t w = 0; w < terms_.workloads.size(); ++w)
@@ -345,17 +351,14 @@
 void Rules::learnRefresh(int s, TimePoint position, TimePoint now) {
   TimePoint before = stores_.reported[s];
   Span age = now - position, pace = smallestBound_ * kFirstPace;
-  if (position <= before) {  // not renewed yet
-    stores_.probeDue[s] = now + larger(pace, refresh_ * kFirstPace);
+  stores_.reported[s] = position;
+  if (age >= (refresh_ + reportAge_) * 1.5) {  // it lags, or stands still, and can't be fresh much sooner
+    stores_.probeDue[s] = now + smaller(larger(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
     return;
   }
-  stores_.reported[s] = position;
-  if (age >= smallestBound_) {
-    // Danger: probes at the reports' own pace may meet each one at its oldest and never see the replica
-    // fresh.
-    bool phase = age < (refresh_ + reportAge_) * 1.5;
-    stores_.probeDue[s] =
-        phase ? now + pace : now + smaller(larger(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
+  if (position <= before || age >= smallestBound_) {
+    // Danger: probes at the reports' own pace may meet each one at its oldest and never see the replica fresh.
+    stores_.probeDue[s] = now + larger(pace, refresh_ * kFirstPace);
     return;
   }
   reportAge_ = smaller(reportAge_ * (1 + kDrift), age);
@@ -372,21 +375,32 @@
 void Rules::probeRound(TimePoint now, Writer& out) {
   if (!terms_.mayProbe) return;
   for (GroupState& g : groups_) {
-    bool unplaced = false, lost = g.primary < 0 || !usable(g.primary, now);
-    for (int stmt : g.waiting) unplaced |= terms_.workloads[stmts_[stmt].workload].level == Level::bounded;
-    double inFlight = g.boundedRate * typical_[0].seconds();
-    int fresh = 0;
-    for (int s : g.members) fresh += s != g.primary && now - stores_.position[s] < smallestBound_ * kReentry;
-    bool wanted =
-        unplaced || (g.boundedRate * smallestBound_.seconds() >= 0.5 && fresh < 1 + kLead * inFlight);
+    bool lost = g.primary < 0 || !usable(g.primary, now), writes = false;
+    double unplaced = 0, have = 0;
+    for (int stmt : g.waiting) {
+      Level level = terms_.workloads[stmts_[stmt].workload].level;
+      unplaced += level == Level::bounded;
+      writes |= level == Level::write || level == Level::fresh;
+    }
+    std::vector<int> due;
     for (int s : g.members) {
-      bool first = stores_.position[s] == kNever;
+      bool young = now - stores_.position[s] < smallestBound_ * kReentry;
+      have += stores_.probing[s] || (s != g.primary && young);
       if (stores_.probing[s] || stores_.listed[s] != Listed::up || now < stores_.probeDue[s]) continue;
-      if (s == g.primary && !lost && !first) continue;
-      if (!usable(s, now) && !lost) continue;
-      if (!first && !lost && (!wanted || now - stores_.position[s] < smallestBound_ * kReentry)) continue;
+      if (stores_.position[s] == kNever || (!young && s != g.primary && usable(s, now)) || (lost && writes))
+        due.push_back(s);
+    }
+    // Danger: with many fronts, each with little traffic, probing all replicas costs more than the reads do.
+    std::stable_sort(due.begin(), due.end(), [&](int a, int b) {
+      return std::pair(boundedDrained(a), stores_.probeDue[a]) < std::pair(boundedDrained(b), stores_.probeDue[b]);
+    });
+    double flow = g.boundedRate * smallestBound_.seconds();
+    double want = unplaced > 0 || flow >= 0.5 ? 1 + kLead * (flow + unplaced * kSoft) : 0;
+    for (int s : due) {
+      if (stores_.position[s] > kNever && have >= want && !(lost && writes && have < 1)) continue;
       stores_.probing[s] = 1;
       stores_.probeDue[s] = now + refresh_;
+      ++have;
       out.probe(s);
     }
   }
--- a/src/rules.h
+++ b/src/rules.h
@@ -203,6 +203,7 @@
   // the design: curve, drain, choice
   double curve(int s, const Workload& w, TimePoint now) const;
   bool measured(int s, const Stmt& st, TimePoint now) const;
+  bool boundedDrained(int s) const;
   bool boundedAt(int s, TimePoint now) const;
   bool longRead(const Stmt& st) const;
   double weightFor(int s, int stmt, TimePoint now) const;
