--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -44,7 +44,7 @@
 constexpr double kSlowAnswer = 0.4;  // of the SLO time: an answer slower than that cuts the limit
 constexpr double kReadShare = 0.75;  // of the primary's limit that reads may fill
 constexpr double kLongRoom = 2;      // of a replica's limit that long reads may fill where they are packed
-constexpr double kStart = 1.0;  // usual times that must be left before the SLO time for a start to be in time
+constexpr double kStart = 1.5;  // usual times that must be left before the SLO time for a start to be in time
 constexpr double kWorthWaiting = 0.5;  // late share from which a late statement still waits for room
 // Time-outs.
 constexpr double kSilent = 8;   // answers that a store should have given since its last, to count as silent
