--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <cmath>
 #include <stdexcept>
+#include <utility>
 
 namespace reedchute {
 namespace {
@@ -40,11 +41,12 @@
 // In-flight limit.
 constexpr double kFirstLimit = 8;
 constexpr double kCut = 0.7;
-constexpr double kLagCut = 0.25;     // of the bound: more lag than that cuts the limit too
-constexpr double kSlowAnswer = 0.4;  // of the SLO time: an answer slower than that cuts the limit
-constexpr double kReadShare = 0.75;  // of the primary's limit that reads may fill
-constexpr double kLongRoom = 2;      // of a replica's limit that long reads may fill where they are packed
-constexpr double kStart = 1.5;  // usual times that must be left before the SLO time for a start to be in time
+constexpr double kLagCut = 0.25;       // of the bound: more lag than that cuts the limit too
+constexpr double kSlowAnswer = 0.4;    // of the SLO time: an answer slower than that cuts the limit
+constexpr double kReadShare = 0.75;    // of the primary's limit that reads may fill
+constexpr double kLongRoom = 2;        // of a replica's limit that long reads may fill where they are packed
+constexpr double kStart = 2;           // usual times that must be left before the SLO time for a start to be
+constexpr double kStartShare = 0.7;    // in time, up to this share of it where that is above one usual time
 constexpr double kWorthWaiting = 0.5;  // late share from which a late statement still waits for room
 // Time-outs.
 constexpr double kSilent = 8;   // answers that a store should have given since its last, to count as silent
@@ -107,7 +109,8 @@
     S.drained.emplace_back(terms_.workloads.size(), 1);  // unmeasured counts as drained
     S.returned.emplace_back(terms_.workloads.size(), kNever);
     S.role.push_back(Role::unknown), S.primaryAt.push_back(kNever), S.replicaAt.push_back(kNever);
-    S.probing.push_back(0), S.reported.push_back(kNever), S.probeDue.push_back(kNever);
+    S.probing.push_back(0), S.reported.push_back(kNever), S.probedAt.push_back(kNever),
+        S.renewal.push_back(kNever), S.probeDue.push_back(kNever);
     S.goodShare.push_back(1), S.speed.push_back(1), S.heard.push_back(kNever), S.healed.push_back(now);
     S.blockedUntil.push_back(kNever), S.block.push_back({}), S.down.push_back(0);
     S.out.push_back(0), S.limit.push_back(kFirstLimit), S.cutAt.push_back(kNever);
@@ -349,27 +352,27 @@
 
 // Reports are renewed at a steady pace: learn it, and the age a report has at the earliest.
 void Rules::learnRefresh(int s, TimePoint position, TimePoint now) {
-  TimePoint before = stores_.reported[s];
+  TimePoint before = stores_.reported[s], asked = std::exchange(stores_.probedAt[s], now);
   Span age = now - position, pace = smallestBound_ * kFirstPace;
   stores_.reported[s] = position;
   if (age >= (refresh_ + reportAge_) * 1.5) {  // it lags, or stands still, and can't be fresh much sooner
     stores_.probeDue[s] = now + smaller(larger(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
     return;
   }
-  if (position <= before || age >= smallestBound_) {
-    // Danger: probes at the reports' own pace may meet each one at its oldest and never see the replica fresh.
-    stores_.probeDue[s] = now + larger(pace, refresh_ * kFirstPace);
-    return;
+  if (position > before) {
+    // The report was renewed after the last look, and is renewed again a period later.
+    stores_.renewal[s] = std::max(asked, now - refresh_) + refresh_;
+    if (age < smallestBound_) {
+      reportAge_ = smaller(reportAge_ * (1 + kDrift), age);
+      stores_.renewal[s] = std::max(stores_.renewal[s], position + refresh_ + reportAge_ * (1 + kFirstPace));
+      // Reports of a store that catches up or falls behind stand closer or further apart than they are made.
+      Span gap = before > kNever ? position - before : refresh_;
+      gap = gap * (1 / std::max(1.0, std::round(gap / refresh_)));
+      if (gap > refresh_ * 0.6) refresh_ = refresh_ + (gap - refresh_) * kLearn;
+    }
   }
-  reportAge_ = smaller(reportAge_ * (1 + kDrift), age);
-  // Reports of a store that is catching up or falling behind stand closer or further apart than they are
-  // made.
-  Span gap = before > kNever ? position - before : refresh_;
-  if (gap < refresh_ && gap > pace)
-    refresh_ = refresh_ - (refresh_ - gap) * kLearn;
-  else if (gap > refresh_ && gap < refresh_ * 1.5)
-    refresh_ = refresh_ + (gap - refresh_) * kLearn;
-  stores_.probeDue[s] = position + refresh_ + reportAge_ * (1 + kFirstPace);
+  // Danger: probes at the reports' own pace may meet each one at its oldest and never see the replica fresh.
+  stores_.probeDue[s] = std::max(now + pace, stores_.renewal[s]);
 }
 
 void Rules::probeRound(TimePoint now, Writer& out) {
@@ -392,7 +395,8 @@
     }
     // Danger: with many fronts, each with little traffic, probing all replicas costs more than the reads do.
     std::stable_sort(due.begin(), due.end(), [&](int a, int b) {
-      return std::pair(boundedDrained(a), stores_.probeDue[a]) < std::pair(boundedDrained(b), stores_.probeDue[b]);
+      return std::pair(boundedDrained(a), stores_.probeDue[a]) <
+             std::pair(boundedDrained(b), stores_.probeDue[b]);
     });
     double flow = g.boundedRate * smallestBound_.seconds();
     double want = unplaced > 0 || flow >= 0.5 ? 1 + kLead * (flow + unplaced * kSoft) : 0;
@@ -489,10 +493,15 @@
   stores_.limit[s] = std::max(1.0, stores_.limit[s] * kCut);
 }
 
+// The time that must be left for a start to be of use.
+Span Rules::startTime(int w) const {
+  return larger(typical_[w], smaller(typical_[w] * kStart, terms_.workloads[w].slo * kStartShare));
+}
+
 double Rules::standing(const Stmt& st, TimePoint now) const {
   const Workload& w = terms_.workloads[st.workload];
   double worth = w.importance * (st.overShare ? terms_.overShareWorth : 1);
-  return now + typical_[st.workload] * kStart > st.arrived + w.slo ? worth * w.lateShare : worth;
+  return now + startTime(st.workload) > st.arrived + w.slo ? worth * w.lateShare : worth;
 }
 
 void Rules::dispatch(int g, TimePoint now, Writer& out) {
@@ -525,9 +534,9 @@
   for (int stmt : group.waiting) {
     const Stmt& st = stmts_[stmt];
     const Workload& w = terms_.workloads[st.workload];
-    bool late = now + typical_[st.workload] * kStart > st.arrived + w.slo;
+    bool late = now + startTime(st.workload) > st.arrived + w.slo;
     bool lost = w.level != Level::any && (group.primary < 0 || !usable(group.primary, now));
-    bool hopeless = now + typical_[st.workload] * kStart > st.giveUpAt ||
+    bool hopeless = now + startTime(st.workload) > st.giveUpAt ||
                     static_cast<int>(st.executions.size()) >= terms_.maxExecutions;
     if (hopeless || (late && (w.lateShare <= 0 || (!lost && w.lateShare < kWorthWaiting)))) giveUp(stmt, out);
   }
--- a/src/rules.h
+++ b/src/rules.h
@@ -151,7 +151,8 @@
   std::vector<TimePoint> primaryAt, replicaAt;  // last seen in that role
   // probes
   std::vector<char> probing;
-  std::vector<TimePoint> reported;  // the position of its newest report
+  std::vector<TimePoint> reported;           // the position of its newest report
+  std::vector<TimePoint> probedAt, renewal;  // when last heard, when its report is renewed next
   std::vector<TimePoint> probeDue;
   // health
   std::vector<double> goodShare, speed;
@@ -225,6 +226,7 @@
   // in-flight limit and shedding
   bool room(int s, int stmt, TimePoint now) const;
   void cutLimit(int s, TimePoint sent, TimePoint now);
+  Span startTime(int w) const;
   double standing(const Stmt& st, TimePoint now) const;
   void dispatch(int g, TimePoint now, Writer& out);
   void shed(int g, TimePoint now, Writer& out);
