--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -189,7 +189,7 @@
     case Level::any:
       return true;
     case Level::bounded:
-      return !stores_.drained[s][st.workload] && curve(s, w, now) > 0;
+      return !stores_.drained[s][st.workload] && now + terms_.tick - stores_.position[s] < w.bound;
     case Level::session:
     case Level::fresh:
       return stores_.position[s] >= st.needs;
