--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -39,10 +39,10 @@
 constexpr double kForget = 8;    // SLO times after which a bad share is mostly forgotten
 constexpr double kBlockCap = 8;  // connect time-outs: the longest block
 // In-flight limit.
-constexpr double kFirstLimit = 8;
+constexpr double kFirstLimit = 4;
 constexpr double kCut = 0.7;
 constexpr double kLagCut = 0.25;       // of the bound: more lag than that cuts the limit too
-constexpr double kSlowAnswer = 0.4;    // of the SLO time: an answer slower than that cuts the limit
+constexpr double kSlowAnswer = 0.3;    // of the SLO time: an answer slower than that cuts the limit
 constexpr double kReadShare = 0.75;    // of the primary's limit that reads may fill
 constexpr double kLongRoom = 2;        // of a replica's limit that long reads may fill where they are packed
 constexpr double kStart = 2;           // usual times that must be left before the SLO time for a start to be
