--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -21,7 +21,7 @@
 // The curve, as shares of the read's bound.
 constexpr double kSoft = 0.25;
 constexpr double kFloor = 0.10;
-constexpr double kReentry = 0.60;  // above the age that a report has when it comes in, or none would return
+constexpr double kReentry = 0.75;  // above the age that a report has when it comes in, or none would return
 constexpr double kSpare = 0.25;  // what a replica fit for bounded reads counts for reads that any may answer
 constexpr double kSpill = 0.1;   // of the SLO time that a long read waits before it takes one more replica
 constexpr double kSlowStart = 10;  // SLO times (the smallest) over which a returned replica ramps up
@@ -29,7 +29,7 @@
 constexpr double kSearchGap = 0.1;    // of the workload's SLO time, between two tries at members in turn
 constexpr double kSearchAgain = 0.5;  // of the SLO time, before a member seen as replica is tried again
 // Probe timing.
-constexpr double kFirstPace = 0.2;   // of the smallest bound, until the reports' period is known
+constexpr double kFirstPace = 0.3;   // of the smallest bound, until the reports' period is known
 constexpr double kDrift = 0.01;      // by which a smallest figure rises again at each sample
 constexpr double kLagPace = 0.25;    // of a lagging replica's lag: it can't be fresh much sooner
 constexpr double kSlowestPace = 10;  // smallest bounds between two probes of a store that is wanted
