--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -113,7 +113,7 @@
         S.renewal.push_back(kNever), S.probeDue.push_back(kNever);
     S.goodShare.push_back(1), S.speed.push_back(1), S.heard.push_back(kNever), S.healed.push_back(now);
     S.blockedUntil.push_back(kNever), S.block.push_back({}), S.down.push_back(0);
-    S.out.push_back(0), S.limit.push_back(kFirstLimit), S.cutAt.push_back(kNever);
+    S.out.push_back(0), S.sentAt.push_back(kNever), S.limit.push_back(kFirstLimit), S.cutAt.push_back(kNever);
     S.coldBudget.push_back(0), S.coldFilled.push_back(now);
   }
   int s = e.store;
@@ -455,7 +455,7 @@
     if (r.took > w.slo * kSlowAnswer)
       cutLimit(s, sent, now);
     else if (S.out[s] + 1 >= S.limit[s] * 0.5)
-      S.limit[s] += 1 / S.limit[s];
+      S.limit[s] += std::min(S.limit[s], 1 / S.limit[s]);
   } else if (r.ending == Ending::error) {
     S.goodShare[s] -= kLearn * S.goodShare[s];
   } else if (r.ending == Ending::full) {
@@ -482,7 +482,10 @@
     // much.
     share *= line(larger(Span{}, stores_.lag[s] - reportAge_), w.bound);
   }
-  if (stores_.out[s] >= std::max(1.0, std::floor(stores_.limit[s] * share))) return false;
+  // Danger: many fronts with one each are too many already. Below one the limit spaces sends out in time.
+  double limit = stores_.limit[s];
+  if (stores_.out[s] >= std::max(1.0, std::floor(limit * share))) return false;
+  if (limit < 1 && now - stores_.sentAt[s] < typical_[st.workload] * (1 / limit)) return false;
   return warmth(s, now) >= 1 || stores_.coldBudget[s] > 0;
 }
 
@@ -490,7 +493,7 @@
 void Rules::cutLimit(int s, TimePoint sent, TimePoint now) {
   if (sent < stores_.cutAt[s]) return;
   stores_.cutAt[s] = now;
-  stores_.limit[s] = std::max(1.0, stores_.limit[s] * kCut);
+  stores_.limit[s] = std::max(1.0 / terms_.fronts, stores_.limit[s] * kCut);
 }
 
 // The time that must be left for a start to be of use.
@@ -669,6 +672,7 @@
   Stmt& st = stmts_[stmt];
   st.executions.push_back({s, now, true, false, true});
   ++stores_.out[s];
+  stores_.sentAt[s] = now;
   if (warmth(s, now) < 1) stores_.coldBudget[s] -= least_[st.workload].seconds();
   if (stores_.block[s] > Span{}) stores_.blockedUntil[s] = now + stores_.block[s];  // a trial: one at a time
   out.send(stmt, s, st.giveUpAt);
--- a/src/rules.h
+++ b/src/rules.h
@@ -161,6 +161,7 @@
   std::vector<char> down;
   // load
   std::vector<int> out;
+  std::vector<TimePoint> sentAt;  // last
   std::vector<double> limit;
   std::vector<TimePoint> cutAt;
   std::vector<double> coldBudget;
