--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -43,7 +43,6 @@
 constexpr double kCut = 0.7;
 constexpr double kLagCut = 0.25;       // of the bound: more lag than that cuts the limit too
 constexpr double kSlowAnswer = 0.3;    // of the SLO time: an answer slower than that cuts the limit
-constexpr double kSlowLeast = 3;        // and above as many times about the least that its workload takes
 constexpr double kReadShare = 0.75;    // of the primary's limit that reads may fill
 constexpr double kLongRoom = 2;        // of a replica's limit that long reads may fill where they are packed
 constexpr double kStart = 2;           // usual times that must be left before the SLO time for a start to be
@@ -453,7 +452,7 @@
     std::size_t ix = static_cast<std::size_t>(&w - terms_.workloads.data());
     S.speed[s] += kLearn * 0.5 * (r.took / typical_[ix] - S.speed[s]);
     typical_[ix] = typical_[ix] + (smaller(r.took, w.slo) - typical_[ix]) * (kLearn * 0.2);
-    if (r.took > larger(w.slo * kSlowAnswer, least_[ix] * kSlowLeast))
+    if (r.took > w.slo * kSlowAnswer)
       cutLimit(s, sent, now);
     else if (S.out[s] + 1 >= S.limit[s] * 0.5)
       S.limit[s] += std::min(S.limit[s], 1 / S.limit[s]);
