--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -24,6 +24,7 @@
 constexpr double kReentry = 0.75;  // above the age that a report has when it comes in, or none would return
 constexpr double kSpare = 0.25;  // what a replica fit for bounded reads counts for reads that any may answer
 constexpr double kSpill = 0.1;   // of the SLO time that a long read waits before it takes one more replica
+constexpr double kLongMembers = 0.34; // of a group that long reads may take at the most
 constexpr double kSlowStart = 10;  // SLO times (the smallest) over which a returned replica ramps up
 // Primary search.
 constexpr double kSearchGap = 0.1;    // of the workload's SLO time, between two tries at members in turn
@@ -262,8 +263,9 @@
   // They fill members in list order, which is the same at every front, and wait a while before they take one
   // more.
   bool packed = longRead(st);
-  int taken = packed ? 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill))
-                     : static_cast<int>(g.members.size());
+  int members = static_cast<int>(g.members.size());
+  int most = std::max(1, static_cast<int>(members * kLongMembers));
+  int taken = packed ? std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill))) : members;
   for (int s : g.members) {
     if (s == g.primary || !usable(s, now)) continue;
     if (--taken < 0) break;
