--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -24,8 +24,8 @@
 constexpr double kReentry = 0.75;  // above the age that a report has when it comes in, or none would return
 constexpr double kSpare = 0.25;  // what a replica fit for bounded reads counts for reads that any may answer
 constexpr double kSpill = 0.1;   // of the SLO time that a long read waits before it takes one more replica
-constexpr double kLongMembers = 0.34; // of a group that long reads may take at the most
-constexpr double kSlowStart = 10;  // SLO times (the smallest) over which a returned replica ramps up
+constexpr double kLongMembers = 0.34;  // of a group that long reads may take at the most
+constexpr double kSlowStart = 10;      // SLO times (the smallest) over which a returned replica ramps up
 // Primary search.
 constexpr double kSearchGap = 0.1;    // of the workload's SLO time, between two tries at members in turn
 constexpr double kSearchAgain = 0.5;  // of the SLO time, before a member seen as replica is tried again
@@ -163,7 +163,7 @@
     const Workload& row = terms_.workloads[w];
     if (row.level != Level::bounded) continue;
     // Danger: reads crowd the thread that applies the log; where they do, fewer of them let it catch up.
-    if (lag - reportAge_ >= row.bound * kLagCut) cutLimit(s, position, now);
+    if (lag < row.bound && lag - reportAge_ >= row.bound * kLagCut) cutLimit(s, position, now);
     if (lag >= row.bound) {
       stores_.drained[s][w] = 1;
     } else if (stores_.drained[s][w] && lag < row.bound * kReentry) {
