--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -48,6 +48,7 @@
 constexpr double kLongRoom = 2;        // of a replica's limit that long reads may fill where they are packed
 constexpr double kStart = 2;           // usual times that must be left before the SLO time for a start to be
 constexpr double kStartShare = 0.7;    // in time, up to this share of it where that is above one usual time
+constexpr double kRepeatAge = 0.5;       // of the SLO time that a client's repeat is taken to have waited before
 constexpr double kWorthWaiting = 0.5;  // late share from which a late statement still waits for room
 // Time-outs.
 constexpr double kSilent = 8;   // answers that a store should have given since its last, to count as silent
@@ -689,8 +690,10 @@
   Stmt& st = stmts_[stmt];
   st = Stmt{};
   st.workload = a.workload, st.group = a.group, st.tenant = a.tenant, st.session = a.session;
-  st.open = true, st.arrived = now, st.giveUpAt = a.giveUpAt;
+  st.open = true, st.giveUpAt = a.giveUpAt;
   const Workload& w = terms_.workloads[a.workload];
+  // Danger: a client that repeats has waited before; answered as if it were new it is often late, at others' cost.
+  st.arrived = a.repeated ? now - w.slo * kRepeatAge : now;
   if (w.level == Level::fresh) st.needs = now;
   // At the most advanced replica a fresh read is turned away until the log has come; it waits that long
   // first.
--- a/src/rules.h
+++ b/src/rules.h
@@ -85,6 +85,7 @@
   int tenant = -1;
   std::uint64_t session = 0;
   std::optional<Span> sinceWrite;
+  bool repeated = false;  // the client says that it tries again
   TimePoint giveUpAt;
 };
 
--- a/src/wire/adapter.cpp
+++ b/src/wire/adapter.cpp
@@ -392,7 +392,7 @@
     a.sinceWrite = Span{static_cast<std::int64_t>(*ms * 1000)};
   a.workload = placeOf(in.workloads, line_.raw(5));
   if (a.workload < 0) throw Malformed("unknown lane '" + std::string(line_.raw(5)) + "'");
-  line_.maybeInteger(6, "bitmap");
+  a.repeated = line_.maybeInteger(6, "bitmap").value_or(0) & 2;
   a.giveUpAt = TimePoint{line_.integer(7, "give_up_at")};
   a.session = line_.hex(8, "session");
   a.tenant = placeOf(in.tenants, line_.raw(9));
