--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -48,6 +48,7 @@
 constexpr double kLongRoom = 2;        // of a replica's limit that long reads may fill where they are packed
 constexpr double kStart = 2;           // usual times that must be left before the SLO time for a start to be
 constexpr double kStartShare = 0.7;    // in time, up to this share of it where that is above one usual time
+constexpr double kComeBack = 0.5;        // SLO times that a rejected client is asked to keep away
 constexpr double kRepeatAge = 0.5;       // of the SLO time that a client's repeat is taken to have waited before
 constexpr double kWorthWaiting = 0.5;  // late share from which a late statement still waits for room
 // Time-outs.
@@ -556,7 +557,7 @@
     if (st.executions[k].out && terms_.mayCancel) out.cancel(stmt, static_cast<int>(k));
   if (harmless(st)) {
     Span back =
-        terms_.namesComeBack ? smaller(terms_.maxComeBack, terms_.workloads[st.workload].slo * 0.5) : Span{};
+        terms_.namesComeBack ? smaller(terms_.maxComeBack, terms_.workloads[st.workload].slo * kComeBack) : Span{};
     out.reject(stmt, back);
   } else {
     out.abort(stmt);
