--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -156,16 +156,17 @@
 // ---- the design: positions, curve, drain, choice
 // ----------------------------------------------------------------
 
-void Rules::learnPosition(int s, TimePoint position, TimePoint now) {
+// `known`: how old the position may be by the way it came, as a report is renewed only now and then.
+void Rules::learnPosition(int s, TimePoint position, Span known, TimePoint now) {
   if (position < stores_.position[s]) return;
   stores_.position[s] = position;
   Span lag = now - position;
-  stores_.lag[s] = lag;
+  stores_.lag[s] = larger(Span{}, lag - known);
   for (std::size_t w = 0; w < terms_.workloads.size(); ++w) {
     const Workload& row = terms_.workloads[w];
     if (row.level != Level::bounded) continue;
     // Danger: reads crowd the thread that applies the log; where they do, fewer of them let it catch up.
-    if (lag < row.bound && lag - reportAge_ >= row.bound * kLagCut) cutLimit(s, position, now);
+    if (lag < row.bound && stores_.lag[s] >= row.bound * kLagCut) cutLimit(s, position, now);
     if (lag >= row.bound) {
       stores_.drained[s][w] = 1;
     } else if (stores_.drained[s][w] && lag < row.bound * kReentry) {
@@ -422,7 +423,7 @@
   }
   if (report.position) {
     learnRefresh(s, *report.position, now);
-    learnPosition(s, *report.position, now);
+    learnPosition(s, *report.position, refresh_ + reportAge_, now);
     if (report.primary) learnRole(s, *report.primary ? Role::primary : Role::replica, *report.position);
   }
 }
@@ -484,7 +485,7 @@
   if (w.level == Level::bounded && s != groups_[st.group].primary) {
     // Danger: weights only share out load; when all replicas lag a little under it, all of them soon lag too
     // much.
-    share *= line(larger(Span{}, stores_.lag[s] - reportAge_), w.bound);
+    share *= line(stores_.lag[s], w.bound);
   }
   // Danger: many fronts with one each are too many already. Below one the limit spaces sends out in time.
   double limit = stores_.limit[s];
@@ -725,7 +726,7 @@
   e.mayHaveRun = !(r.ending == Ending::full || r.ending == Ending::connectFailed ||
                    r.ending == Ending::moot || r.ending == Ending::miss);
   learnRole(e.store, r.ending == Ending::miss && w.level == Level::write ? Role::replica : r.role, now);
-  if (r.position && r.role == Role::replica) learnPosition(e.store, *r.position, now);
+  if (r.position && r.role == Role::replica) learnPosition(e.store, *r.position, Span{}, now);
   learnHealth(e.store, w, r, e.sent, now);
   if (r.ending == Ending::ok) {
     least_[st.workload] =
@@ -735,7 +736,7 @@
       last = std::max(last, *r.position);
     }
   }
-  if (r.report.position) learnPosition(e.store, *r.report.position, now);
+  if (r.report.position) learnPosition(e.store, *r.report.position, refresh_ + reportAge_, now);
   if (r.closed) st.open = false;
   if (!st.open) return;
   if (r.ending == Ending::miss) ++st.tries;
--- a/src/rules.h
+++ b/src/rules.h
@@ -213,7 +213,7 @@
   int fewest(const std::vector<int>& among, int stmt, TimePoint now);
   int route(int stmt, TimePoint now);
   int routeCurrent(int stmt, TimePoint now);
-  void learnPosition(int s, TimePoint position, TimePoint now);
+  void learnPosition(int s, TimePoint position, Span known, TimePoint now);
   // primary search
   void learnRole(int s, Role role, TimePoint at);
   void namePrimary(int g, int s, bool byList, TimePoint now);
