--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -22,8 +22,7 @@
 constexpr double kSoft = 0.25;
 constexpr double kFloor = 0.10;
 constexpr double kReentry = 0.75;  // above the age that a report has when it comes in, or none would return
-constexpr double kSpare = 0.25;  // what a replica fit for bounded reads counts for reads that any may answer
-constexpr double kSpill = 0.1;   // of the SLO time that a long read waits before it takes one more replica
+constexpr double kSpill = 0.1;     // of the SLO time that a long read waits before it takes one more replica
 constexpr double kLongMembers = 0.34;  // of a group that long reads may take at the most
 constexpr double kSlowStart = 10;      // SLO times (the smallest) over which a returned replica ramps up
 // Primary search.
@@ -42,14 +41,14 @@
 // In-flight limit.
 constexpr double kFirstLimit = 4;
 constexpr double kCut = 0.7;
-constexpr double kLagCut = 0.25;       // of the bound: more lag than that cuts the limit too
-constexpr double kSlowAnswer = 0.3;    // of the SLO time: an answer slower than that cuts the limit
-constexpr double kReadShare = 0.75;    // of the primary's limit that reads may fill
-constexpr double kLongRoom = 2;        // of a replica's limit that long reads may fill where they are packed
-constexpr double kStart = 2;           // usual times that must be left before the SLO time for a start to be
-constexpr double kStartShare = 0.7;    // in time, up to this share of it where that is above one usual time
-constexpr double kComeBack = 0.5;        // SLO times that a rejected client is asked to keep away
-constexpr double kRepeatAge = 0.5;       // of the SLO time that a client's repeat is taken to have waited before
+constexpr double kLagCut = 0.25;     // of the bound: more lag than that cuts the limit too
+constexpr double kSlowAnswer = 0.3;  // of the SLO time: an answer slower than that cuts the limit
+constexpr double kReadShare = 0.75;  // of the primary's limit that reads may fill
+constexpr double kLongRoom = 2;      // of a replica's limit that long reads may fill where they are packed
+constexpr double kStart = 2;         // usual times that must be left before the SLO time for a start to be
+constexpr double kStartShare = 0.7;  // in time, up to this share of it where that is above one usual time
+constexpr double kComeBack = 0.5;    // SLO times that a rejected client is asked to keep away
+constexpr double kRepeatAge = 0.5;   // of the SLO time that a client's repeat is taken to have waited before
 constexpr double kWorthWaiting = 0.5;  // late share from which a late statement still waits for room
 // Time-outs.
 constexpr double kSilent = 8;   // answers that a store should have given since its last, to count as silent
@@ -209,18 +208,15 @@
   return true;
 }
 
-// Is the replica of use to bounded reads just now?
-bool Rules::boundedAt(int s, TimePoint now) const {
-  for (std::size_t w = 0; w < terms_.workloads.size(); ++w)
-    if (terms_.workloads[w].level == Level::bounded && !stores_.drained[s][w] &&
-        curve(s, terms_.workloads[w], now) > 0)
-      return true;
-  return false;
+// Does it run so long that a replica which holds up its log for it falls behind the smallest bound?
+bool Rules::longRead(int w) const {
+  return terms_.workloads[w].level == Level::any && typical_[w] > smallestBound_;
 }
 
-// Does it run so long that a replica which holds up its log for it falls behind the smallest bound?
-bool Rules::longRead(const Stmt& st) const {
-  return terms_.workloads[st.workload].level == Level::any && typical_[st.workload] > smallestBound_;
+bool Rules::anyLongRead() const {
+  for (std::size_t w = 0; w < terms_.workloads.size(); ++w)
+    if (longRead(static_cast<int>(w))) return true;
+  return false;
 }
 
 double Rules::weightFor(int s, int stmt, TimePoint now) const {
@@ -231,7 +227,6 @@
     double ramp = (now - stores_.returned[s][st.workload]) / (smallestSlo_ * kSlowStart);
     weight *= std::clamp(ramp, kFloor, 1.0);
   }
-  if (w.level == Level::any && boundedAt(s, now)) weight *= kSpare;
   // Danger: quick errors free slots fast and draw more reads; a slow store answers right but late.
   weight *= stores_.goodShare[s] * stores_.goodShare[s] / std::clamp(stores_.speed[s], 0.5, 10.0);
   for (const Execution& e : st.executions)
@@ -260,28 +255,30 @@
   const Workload& w = terms_.workloads[st.workload];
   if (w.level == Level::write) return routeCurrent(stmt, now);
   GroupState& g = groups_[st.group];
-  std::vector<int> fit;
+  std::vector<int> fit, hosting;
   bool known = false, awaited = false;
   // Danger: a replica may hold up its log while it runs a long read; spread over all, they leave none fresh.
   // They fill members in list order, which is the same at every front, and wait a while before they take one
-  // more.
-  bool packed = longRead(st);
-  int members = static_cast<int>(g.members.size());
-  int most = std::max(1, static_cast<int>(members * kLongMembers));
-  int taken = packed ? std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill))) : members;
+  // more. Short reads that any may answer go there first too: on a replica that lags they would keep it
+  // behind.
+  bool packed = longRead(st.workload), hosted = w.level == Level::any && !packed && anyLongRead();
+  int most = std::max(1, static_cast<int>(static_cast<double>(g.members.size()) * kLongMembers)), rank = 0;
+  int taken = std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
   for (int s : g.members) {
-    if (s == g.primary || !usable(s, now)) continue;
-    if (--taken < 0) break;
+    if (s == g.primary || stores_.listed[s] != Listed::up) continue;
+    rank += !stores_.down[s];
+    if (!usable(s, now) || (packed && rank > taken)) continue;
     awaited |= stores_.probing[s] && !(w.level == Level::bounded && stores_.position[s] > kNever &&
                                        stores_.drained[s][st.workload]);
     if (!measured(s, st, now)) continue;
     known = true;
-    if (room(s, stmt, now)) fit.push_back(s);
+    if (room(s, stmt, now)) (hosted && rank <= most ? hosting : fit).push_back(s);
   }
+  if (!hosting.empty()) return fewest(hosting, stmt, now);
   if (!fit.empty()) return fewest(fit, stmt, now);
   // Reads await a probe answer that is under way, but not for long.
   if (!known && awaited && now - st.arrived < w.slo * kSearchGap) return -1;
-  if (packed && taken < 0 && !g.members.empty()) return -1;
+  if (packed && rank > 0) return -1;
   return routeCurrent(stmt, now);
 }
 
@@ -480,7 +477,9 @@
     if (e.out && e.store == s) return false;
   bool current = terms_.workloads[st.workload].level == Level::write ||
                  terms_.workloads[st.workload].level == Level::fresh;
-  double share = s == groups_[st.group].primary && !current ? kReadShare : longRead(st) ? kLongRoom : 1;
+  double share = s == groups_[st.group].primary && !current ? kReadShare
+                 : longRead(st.workload)                    ? kLongRoom
+                                                            : 1;
   const Workload& w = terms_.workloads[st.workload];
   if (w.level == Level::bounded && s != groups_[st.group].primary) {
     // Danger: weights only share out load; when all replicas lag a little under it, all of them soon lag too
@@ -557,8 +556,9 @@
   for (std::size_t k = 0; k < st.executions.size(); ++k)
     if (st.executions[k].out && terms_.mayCancel) out.cancel(stmt, static_cast<int>(k));
   if (harmless(st)) {
-    Span back =
-        terms_.namesComeBack ? smaller(terms_.maxComeBack, terms_.workloads[st.workload].slo * kComeBack) : Span{};
+    Span back = terms_.namesComeBack
+                    ? smaller(terms_.maxComeBack, terms_.workloads[st.workload].slo * kComeBack)
+                    : Span{};
     out.reject(stmt, back);
   } else {
     out.abort(stmt);
@@ -694,7 +694,8 @@
   st.workload = a.workload, st.group = a.group, st.tenant = a.tenant, st.session = a.session;
   st.open = true, st.giveUpAt = a.giveUpAt;
   const Workload& w = terms_.workloads[a.workload];
-  // Danger: a client that repeats has waited before; answered as if it were new it is often late, at others' cost.
+  // Danger: a client that repeats has waited before; answered as if it were new it is often late, at others'
+  // cost.
   st.arrived = a.repeated ? now - w.slo * kRepeatAge : now;
   if (w.level == Level::fresh) st.needs = now;
   // At the most advanced replica a fresh read is turned away until the log has come; it waits that long
--- a/src/rules.h
+++ b/src/rules.h
@@ -207,8 +207,8 @@
   double curve(int s, const Workload& w, TimePoint now) const;
   bool measured(int s, const Stmt& st, TimePoint now) const;
   bool boundedDrained(int s) const;
-  bool boundedAt(int s, TimePoint now) const;
-  bool longRead(const Stmt& st) const;
+  bool longRead(int w) const;
+  bool anyLongRead() const;
   double weightFor(int s, int stmt, TimePoint now) const;
   int fewest(const std::vector<int>& among, int stmt, TimePoint now);
   int route(int stmt, TimePoint now);
