--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -49,6 +49,7 @@
 constexpr double kStartShare = 0.7;  // in time, up to this share of it where that is above one usual time
 constexpr double kComeBack = 0.5;    // SLO times that a rejected client is asked to keep away
 constexpr double kRepeatAge = 0.5;   // of the SLO time that a client's repeat is taken to have waited before
+constexpr double kLateWait = 0.6;       // of its client's time that a late statement may wait in all
 constexpr double kWorthWaiting = 0.5;  // late share from which a late statement still waits for room
 // Time-outs.
 constexpr double kSilent = 8;   // answers that a store should have given since its last, to count as silent
@@ -545,7 +546,11 @@
     bool lost = w.level != Level::any && (group.primary < 0 || !usable(group.primary, now));
     bool hopeless = now + startTime(st.workload) > st.giveUpAt ||
                     static_cast<int>(st.executions.size()) >= terms_.maxExecutions;
-    if (hopeless || (late && (w.lateShare <= 0 || (!lost && w.lateShare < kWorthWaiting)))) giveUp(stmt, out);
+    // Past its SLO time it waits for a primary, or for room if it is still worth much; but it leaves its client
+    // time to try again.
+    bool worth = w.lateShare >= kWorthWaiting || (lost && w.lateShare > 0);
+    bool waited = now - st.arrived > (st.giveUpAt - st.arrived) * kLateWait;
+    if (hopeless || (late && (!worth || waited))) giveUp(stmt, out);
   }
   std::erase_if(group.waiting, [&](int stmt) { return !stmts_[stmt].open; });
 }
@@ -592,7 +597,7 @@
     if (!e.mayHaveRun) continue;
     if (w.effect == Effect::nonIdempotent) return false;       // danger: a second effect
     if (now + terms_.tick - e.sent >= w.window) return false;  // danger: the store has forgotten the mark
-    if (w.scope == Scope::zone && (s < 0 || stores_.zone[s] != stores_.zone[e.store])) return false;
+    if (w.scope == Scope::zone && s >= 0 && stores_.zone[s] != stores_.zone[e.store]) return false;
     if (w.scope == Scope::group && s >= 0 && stores_.group[s] != stores_.group[e.store]) return false;
   }
   return true;
