--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -47,9 +47,10 @@
 constexpr double kLongRoom = 2;      // of a replica's limit that long reads may fill where they are packed
 constexpr double kStart = 2;         // usual times that must be left before the SLO time for a start to be
 constexpr double kStartShare = 0.7;  // in time, up to this share of it where that is above one usual time
+constexpr double kMemory = 0.25;     // of the warm-up time: how far back rates look
 constexpr double kComeBack = 0.5;    // SLO times that a rejected client is asked to keep away
 constexpr double kRepeatAge = 0.5;   // of the SLO time that a client's repeat is taken to have waited before
-constexpr double kLateWait = 0.6;       // of its client's time that a late statement may wait in all
+constexpr double kLateWait = 0.6;    // of its client's time that a late statement may wait in all
 constexpr double kWorthWaiting = 0.5;  // late share from which a late statement still waits for room
 // Time-outs.
 constexpr double kSilent = 8;   // answers that a store should have given since its last, to count as silent
@@ -144,7 +145,7 @@
 void Rules::listEnds(bool asked, TimePoint) {
   for (std::size_t s = 0; s < stores_.inList.size(); ++s)
     if (!stores_.inList[s] && terms_.goneBinds) stores_.listed[s] = Listed::gone;
-  if (asked) asking_ = false, askBackoff_ = terms_.askEvery * 0.1;
+  if (asked) askBackoff_ = terms_.askEvery * 0.1;
 }
 
 void Rules::listFailed(TimePoint now) {
@@ -506,6 +507,31 @@
   return larger(typical_[w], smaller(typical_[w] * kStart, terms_.workloads[w].slo * kStartShare));
 }
 
+// What a tenant sends beyond its share is worth little. A front sees only its own part of the traffic and
+// takes the tenants' shares as the same part of it.
+void Rules::countTenant(Stmt& st, TimePoint now) {
+  double quotas = 0;
+  for (const Tenant& t : terms_.tenants) quotas += t.quota;
+  if (st.tenant < 0 || quotas <= 0) return;
+  if (tenants_.empty()) tenants_.resize(terms_.tenants.size());
+  double tau = terms_.coldRamp.seconds() * kMemory, rates = 0;
+  double passed = (now - std::max(tenantsAt_, now - terms_.coldRamp)).seconds();
+  tenantsAt_ = now;
+  for (std::size_t k = 0; k < tenants_.size(); ++k) {
+    tenants_[k].rate =
+        tenants_[k].rate * std::exp(-passed / tau) + (static_cast<int>(k) == st.tenant ? 1 / tau : 0);
+    rates += tenants_[k].rate;
+  }
+  double part = std::max(1.0 / terms_.fronts, rates / quotas);
+  for (std::size_t k = 0; k < tenants_.size(); ++k) {
+    double fill = terms_.tenants[k].quota * part;
+    tenants_[k].tokens = std::min(tenants_[k].tokens + fill * passed, std::max(1.0, fill * tau));
+  }
+  double& tokens = tenants_[st.tenant].tokens;
+  st.overShare = tokens < 1;
+  if (!st.overShare) tokens -= 1;
+}
+
 double Rules::standing(const Stmt& st, TimePoint now) const {
   const Workload& w = terms_.workloads[st.workload];
   double worth = w.importance * (st.overShare ? terms_.overShareWorth : 1);
@@ -546,8 +572,8 @@
     bool lost = w.level != Level::any && (group.primary < 0 || !usable(group.primary, now));
     bool hopeless = now + startTime(st.workload) > st.giveUpAt ||
                     static_cast<int>(st.executions.size()) >= terms_.maxExecutions;
-    // Past its SLO time it waits for a primary, or for room if it is still worth much; but it leaves its client
-    // time to try again.
+    // Past its SLO time it waits for a primary, or for room if it is still worth much; but it leaves its
+    // client time to try again.
     bool worth = w.lateShare >= kWorthWaiting || (lost && w.lateShare > 0);
     bool waited = now - st.arrived > (st.giveUpAt - st.arrived) * kLateWait;
     if (hopeless || (late && (!worth || waited))) giveUp(stmt, out);
@@ -712,8 +738,9 @@
     auto it = sessions_.find(a.session);
     st.needs = it == sessions_.end() ? sessionFloor_ : it->second;
   }
+  countTenant(st, now);
   GroupState& g = groups_[a.group];
-  double tau = terms_.coldRamp.seconds() * 0.25,
+  double tau = terms_.coldRamp.seconds() * kMemory,
          fade = std::exp(-std::max(0.0, (now - std::max(g.rated, now - Span{100'000'000})).seconds()) / tau);
   g.rated = now;
   g.workRate = g.workRate * fade + least_[a.workload].seconds() / tau;
--- a/src/rules.h
+++ b/src/rules.h
@@ -183,6 +183,11 @@
   TimePoint rated = kNever;
 };
 
+struct TenantState {
+  double rate = 0;    // statements a second at this front
+  double tokens = 0;  // within its share
+};
+
 class Rules {
  public:
   // Throws std::invalid_argument where a setting that it can't do without is missing or makes no sense.
@@ -229,6 +234,7 @@
   bool room(int s, int stmt, TimePoint now) const;
   void cutLimit(int s, TimePoint sent, TimePoint now);
   Span startTime(int w) const;
+  void countTenant(Stmt& st, TimePoint now);
   double standing(const Stmt& st, TimePoint now) const;
   void dispatch(int g, TimePoint now, Writer& out);
   void shed(int g, TimePoint now, Writer& out);
@@ -260,7 +266,8 @@
   Span smallestBound_, smallestSlo_;
   TimePoint askAt_ = kNever;
   Span askBackoff_;
-  bool asking_ = false;
+  std::vector<TenantState> tenants_;
+  TimePoint tenantsAt_ = kNever;
   TimePoint wakeAt_ = kNever;
 };
 
