--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -25,6 +25,9 @@
 constexpr double kSpill = 0.1;     // of the SLO time that a long read waits before it takes one more replica
 constexpr double kLongMembers = 0.34;  // of a group that long reads may take at the most
 constexpr double kSlowStart = 10;      // SLO times (the smallest) over which a returned replica ramps up
+// The list, as shares of the time after which a front must have asked.
+constexpr double kAskFirst = 0.1;
+constexpr double kAskLast = 0.5;
 // Primary search.
 constexpr double kSearchGap = 0.1;    // of the workload's SLO time, between two tries at members in turn
 constexpr double kSearchAgain = 0.5;  // of the SLO time, before a member seen as replica is tried again
@@ -33,11 +36,15 @@
 constexpr double kDrift = 0.01;      // by which a smallest figure rises again at each sample
 constexpr double kLagPace = 0.25;    // of a lagging replica's lag: it can't be fresh much sooner
 constexpr double kSlowestPace = 10;  // smallest bounds between two probes of a store that is wanted
-constexpr double kLead = 1.5;        // measured replicas wanted for each bounded read in flight
+constexpr double kSteady = 0.5;   // bounded reads in the smallest bound, from which positions are kept young
+constexpr double kLagging = 1.5;  // times the oldest a healthy replica's report can be
+constexpr double kLikely = 0.6;   // of the period learned: two reports closer than that tell no period
+constexpr double kLead = 1.5;     // measured replicas wanted for each bounded read in flight
 // Health.
-constexpr double kLearn = 0.1;   // weight of one outcome in a running share
-constexpr double kForget = 8;    // SLO times after which a bad share is mostly forgotten
-constexpr double kBlockCap = 8;  // connect time-outs: the longest block
+constexpr double kLearn = 0.1;        // weight of one outcome in a running share
+constexpr double kFirstUsual = 0.25;  // of the SLO time, taken as usual until answers tell
+constexpr double kForget = 8;         // SLO times after which a bad share is mostly forgotten
+constexpr double kBlockCap = 8;       // connect time-outs: the longest block
 // In-flight limit.
 constexpr double kFirstLimit = 4;
 constexpr double kCut = 0.7;
@@ -66,13 +73,6 @@
   return (static_cast<double>(chance()) + 0.5) / 16777216.0;
 }
 
-Span smaller(Span a, Span b) {
-  return a < b ? a : b;
-}
-Span larger(Span a, Span b) {
-  return a < b ? b : a;
-}
-
 }  // namespace
 
 Rules::Rules(Terms terms, TimePoint now) : terms_(std::move(terms)), chance_(terms_.seed) {
@@ -86,20 +86,19 @@
     if (w.slo <= Span{}) throw std::invalid_argument("a workload has no SLO time");
     if (w.level == Level::bounded && w.bound <= Span{})
       throw std::invalid_argument("a bounded read has no bound");
-    smallestSlo_ = smaller(smallestSlo_, w.slo);
-    typical_.push_back(w.slo * 0.25);
-    least_.push_back(w.slo * 0.25);
+    smallestSlo_ = std::min(smallestSlo_, w.slo);
+    typical_.push_back(w.slo * kFirstUsual);
+    least_.push_back(w.slo * kFirstUsual);
   }
   for (const Workload& w : terms_.workloads)
-    if (w.level == Level::bounded) smallestBound_ = smaller(smallestBound_, w.bound);
+    if (w.level == Level::bounded) smallestBound_ = std::min(smallestBound_, w.bound);
   refresh_ = smallestBound_;
   reportAge_ = smallestBound_ * kSoft;
-  askBackoff_ = terms_.askEvery * 0.1;
+  askBackoff_ = terms_.askEvery * kAskFirst;
   if (terms_.mustAsk) askAt_ = now;
 }
 
-// ---- the list
-// -------------------------------------------------------------------------------------------------
+// ---- the list ----
 
 void Rules::listBegins(bool whole) {
   if (whole) std::fill(stores_.inList.begin(), stores_.inList.end(), 0);
@@ -107,19 +106,7 @@
 
 void Rules::entry(const Entry& e, TimePoint now) {
   Stores& S = stores_;
-  while (static_cast<int>(S.group.size()) <= e.store) {
-    S.group.push_back(-1), S.zone.push_back(-1), S.listed.push_back(Listed::up), S.weight.push_back(1);
-    S.started.push_back(kNever), S.inList.push_back(0), S.position.push_back(kNever), S.lag.push_back({});
-    S.drained.emplace_back(terms_.workloads.size(), 1);  // unmeasured counts as drained
-    S.returned.emplace_back(terms_.workloads.size(), kNever);
-    S.role.push_back(Role::unknown), S.primaryAt.push_back(kNever), S.replicaAt.push_back(kNever);
-    S.probing.push_back(0), S.reported.push_back(kNever), S.probedAt.push_back(kNever),
-        S.renewal.push_back(kNever), S.probeDue.push_back(kNever);
-    S.goodShare.push_back(1), S.speed.push_back(1), S.heard.push_back(kNever), S.healed.push_back(now);
-    S.blockedUntil.push_back(kNever), S.block.push_back({}), S.down.push_back(0);
-    S.out.push_back(0), S.sentAt.push_back(kNever), S.limit.push_back(kFirstLimit), S.cutAt.push_back(kNever);
-    S.coldBudget.push_back(0), S.coldFilled.push_back(now);
-  }
+  while (static_cast<int>(S.group.size()) <= e.store) S.grow(terms_.workloads.size(), kFirstLimit, now);
   int s = e.store;
   if (S.group[s] != e.group) {
     if (S.group[s] >= 0) std::erase(groups_[S.group[s]].members, s);
@@ -145,29 +132,27 @@
 void Rules::listEnds(bool asked, TimePoint) {
   for (std::size_t s = 0; s < stores_.inList.size(); ++s)
     if (!stores_.inList[s] && terms_.goneBinds) stores_.listed[s] = Listed::gone;
-  if (asked) askBackoff_ = terms_.askEvery * 0.1;
+  if (asked) askBackoff_ = terms_.askEvery * kAskFirst;
 }
 
 void Rules::listFailed(TimePoint now) {
   // Danger: the list's service is small; fronts that all ask again at once keep it from answering any.
   askAt_ = now + askBackoff_ * (0.5 + unit(chance_));
-  askBackoff_ = smaller(askBackoff_ * 2, terms_.askEvery * 0.5);
+  askBackoff_ = std::min(askBackoff_ * 2, terms_.askEvery * kAskLast);
 }
 
-// ---- the design: positions, curve, drain, choice
-// ----------------------------------------------------------------
+// ---- the design: positions, curve, drain, choice ----
 
 // `known`: how old the position may be by the way it came, as a report is renewed only now and then.
 void Rules::learnPosition(int s, TimePoint position, Span known, TimePoint now) {
   if (position < stores_.position[s]) return;
   stores_.position[s] = position;
   Span lag = now - position;
-  stores_.lag[s] = larger(Span{}, lag - known);
   for (std::size_t w = 0; w < terms_.workloads.size(); ++w) {
     const Workload& row = terms_.workloads[w];
     if (row.level != Level::bounded) continue;
     // Danger: reads crowd the thread that applies the log; where they do, fewer of them let it catch up.
-    if (lag < row.bound && stores_.lag[s] >= row.bound * kLagCut) cutLimit(s, position, now);
+    if (lag < row.bound && lag - known >= row.bound * kLagCut) cutLimit(s, position, now);
     if (lag >= row.bound) {
       stores_.drained[s][w] = 1;
     } else if (stores_.drained[s][w] && lag < row.bound * kReentry) {
@@ -177,14 +162,10 @@
   }
 }
 
-double line(Span lag, Span hard) {
-  Span soft = hard * kSoft;
-  if (lag <= soft) return 1;
-  return lag >= hard ? 0 : 1 - (1 - kFloor) * ((lag - soft) / (hard - soft));
-}
-
 double Rules::curve(int s, const Workload& w, TimePoint now) const {
-  return w.level == Level::bounded ? line(now - stores_.position[s], w.bound) : 1;
+  Span lag = now - stores_.position[s], soft = w.bound * kSoft;
+  if (w.level != Level::bounded || lag <= soft) return 1;
+  return lag >= w.bound ? 0 : 1 - (1 - kFloor) * ((lag - soft) / (w.bound - soft));
 }
 
 // Is the replica known to be fresh enough for this statement, if it is sent now?
@@ -302,8 +283,7 @@
   return w.level == Level::write ? searchTurn(stmt, now) : -1;
 }
 
-// ---- 1. primary search
-// --------------------------------------------------------------------------------------------
+// ---- 1. primary search ----
 
 void Rules::namePrimary(int g, int s, bool byList, TimePoint now) {
   GroupState& group = groups_[g];
@@ -351,28 +331,28 @@
   return -1;
 }
 
-// ---- 2. probe timing
-// ------------------------------------------------------------------------------------------------
+// ---- 2. probe timing ----
 
 // Reports are renewed at a steady pace: learn it, and the age a report has at the earliest.
 void Rules::learnRefresh(int s, TimePoint position, TimePoint now) {
   TimePoint before = stores_.reported[s], asked = std::exchange(stores_.probedAt[s], now);
   Span age = now - position, pace = smallestBound_ * kFirstPace;
   stores_.reported[s] = position;
-  if (age >= (refresh_ + reportAge_) * 1.5) {  // it lags, or stands still, and can't be fresh much sooner
-    stores_.probeDue[s] = now + smaller(larger(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
+  if (age >=
+      (refresh_ + reportAge_) * kLagging) {  // it lags, or stands still, and can't be fresh much sooner
+    stores_.probeDue[s] = now + std::min(std::max(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
     return;
   }
   if (position > before) {
     // The report was renewed after the last look, and is renewed again a period later.
     stores_.renewal[s] = std::max(asked, now - refresh_) + refresh_;
     if (age < smallestBound_) {
-      reportAge_ = smaller(reportAge_ * (1 + kDrift), age);
+      reportAge_ = std::min(reportAge_ * (1 + kDrift), age);
       stores_.renewal[s] = std::max(stores_.renewal[s], position + refresh_ + reportAge_ * (1 + kFirstPace));
       // Reports of a store that catches up or falls behind stand closer or further apart than they are made.
       Span gap = before > kNever ? position - before : refresh_;
       gap = gap * (1 / std::max(1.0, std::round(gap / refresh_)));
-      if (gap > refresh_ * 0.6) refresh_ = refresh_ + (gap - refresh_) * kLearn;
+      if (gap > refresh_ * kLikely) refresh_ = refresh_ + (gap - refresh_) * kLearn;
     }
   }
   // Danger: probes at the reports' own pace may meet each one at its oldest and never see the replica fresh.
@@ -403,7 +383,7 @@
              std::pair(boundedDrained(b), stores_.probeDue[b]);
     });
     double flow = g.boundedRate * smallestBound_.seconds();
-    double want = unplaced > 0 || flow >= 0.5 ? 1 + kLead * (flow + unplaced * kSoft) : 0;
+    double want = unplaced > 0 || flow >= kSteady ? 1 + kLead * (flow + unplaced * kSoft) : 0;
     for (int s : due) {
       if (stores_.position[s] > kNever && have >= want && !(lost && writes && have < 1)) continue;
       stores_.probing[s] = 1;
@@ -427,8 +407,7 @@
   }
 }
 
-// ---- 3. health from outcomes
-// ------------------------------------------------------------------------------------------
+// ---- 3. health from outcomes ----
 
 bool Rules::usable(int s, TimePoint now) const {
   return stores_.listed[s] == Listed::up && stores_.blockedUntil[s] <= now;
@@ -436,7 +415,7 @@
 
 void Rules::blockStore(int s, TimePoint now, bool down) {
   Span first = terms_.connectTimeout;
-  stores_.block[s] = stores_.block[s] > Span{} ? smaller(stores_.block[s] * 2, first * kBlockCap) : first;
+  stores_.block[s] = stores_.block[s] > Span{} ? std::min(stores_.block[s] * 2, first * kBlockCap) : first;
   stores_.blockedUntil[s] = now + stores_.block[s];
   stores_.down[s] |= down;
 }
@@ -455,7 +434,7 @@
     S.goodShare[s] += kLearn * (1 - S.goodShare[s]);
     std::size_t ix = static_cast<std::size_t>(&w - terms_.workloads.data());
     S.speed[s] += kLearn * 0.5 * (r.took / typical_[ix] - S.speed[s]);
-    typical_[ix] = typical_[ix] + (smaller(r.took, w.slo) - typical_[ix]) * (kLearn * 0.2);
+    typical_[ix] = typical_[ix] + (std::min(r.took, w.slo) - typical_[ix]) * (kLearn * 0.2);
     if (r.took > w.slo * kSlowAnswer)
       cutLimit(s, sent, now);
     else if (S.out[s] + 1 >= S.limit[s] * 0.5)
@@ -470,8 +449,7 @@
   }
 }
 
-// ---- 4. in-flight limit with shedding
-// -----------------------------------------------------------------------------------
+// ---- 4. in-flight limit with shedding ----
 
 bool Rules::room(int s, int stmt, TimePoint now) const {
   const Stmt& st = stmts_[stmt];
@@ -482,12 +460,6 @@
   double share = s == groups_[st.group].primary && !current ? kReadShare
                  : longRead(st.workload)                    ? kLongRoom
                                                             : 1;
-  const Workload& w = terms_.workloads[st.workload];
-  if (w.level == Level::bounded && s != groups_[st.group].primary) {
-    // Danger: weights only share out load; when all replicas lag a little under it, all of them soon lag too
-    // much.
-    share *= line(stores_.lag[s], w.bound);
-  }
   // Danger: many fronts with one each are too many already. Below one the limit spaces sends out in time.
   double limit = stores_.limit[s];
   if (stores_.out[s] >= std::max(1.0, std::floor(limit * share))) return false;
@@ -504,7 +476,7 @@
 
 // The time that must be left for a start to be of use.
 Span Rules::startTime(int w) const {
-  return larger(typical_[w], smaller(typical_[w] * kStart, terms_.workloads[w].slo * kStartShare));
+  return std::max(typical_[w], std::min(typical_[w] * kStart, terms_.workloads[w].slo * kStartShare));
 }
 
 // What a tenant sends beyond its share is worth little. A front sees only its own part of the traffic and
@@ -588,7 +560,7 @@
     if (st.executions[k].out && terms_.mayCancel) out.cancel(stmt, static_cast<int>(k));
   if (harmless(st)) {
     Span back = terms_.namesComeBack
-                    ? smaller(terms_.maxComeBack, terms_.workloads[st.workload].slo * kComeBack)
+                    ? std::min(terms_.maxComeBack, terms_.workloads[st.workload].slo * kComeBack)
                     : Span{};
     out.reject(stmt, back);
   } else {
@@ -597,8 +569,7 @@
   st.open = false;
 }
 
-// ---- 5. time-outs and further executions
-// ----------------------------------------------------------------------------------
+// ---- 5. time-outs and further executions ----
 
 bool Rules::isOut(const Stmt& st) const {
   return std::any_of(st.executions.begin(), st.executions.end(), [](const Execution& e) { return e.out; });
@@ -663,8 +634,8 @@
       bool silent = missing[e.store] > kSilent && age > usual;
       bool moved =
           w.level == Level::write && g.primary >= 0 && g.primary != e.store && g.primarySince > e.sent;
-      bool overdue =
-          w.effect == Effect::idempotent && (silent || age > larger(usual * kOverdue, w.slo * kOverdueShare));
+      bool overdue = w.effect == Effect::idempotent &&
+                     (silent || age > std::max(usual * kOverdue, w.slo * kOverdueShare));
       if (terms_.mayCancel && (moved || (overdue && silent && !terms_.secondCopies))) {
         st.executions[k].cancelled = true;
         out.cancel(stmt, static_cast<int>(k));
@@ -679,8 +650,7 @@
   }
 }
 
-// ---- 6. cold share by age
-// ---------------------------------------------------------------------------------------------------
+// ---- 6. cold share by age ----
 
 double Rules::warmth(int s, TimePoint now) const {
   if (stores_.started[s] == kNever || now - stores_.started[s] >= terms_.coldRamp) return 1;
@@ -714,8 +684,7 @@
   out.send(stmt, s, st.giveUpAt);
 }
 
-// ---- facts and the round
-// ----------------------------------------------------------------------------------------------------
+// ---- facts and the round ----
 
 void Rules::arrived(int stmt, const Arrival& a, TimePoint now) {
   if (static_cast<int>(stmts_.size()) <= stmt) stmts_.resize(stmt + 1);
@@ -763,7 +732,7 @@
   learnHealth(e.store, w, r, e.sent, now);
   if (r.ending == Ending::ok) {
     least_[st.workload] =
-        smaller(least_[st.workload] * (1 + kDrift), r.took * 0.5 + least_[st.workload] * 0.5);
+        std::min(least_[st.workload] * (1 + kDrift), r.took * 0.5 + least_[st.workload] * 0.5);
     if (w.level == Level::write && r.position && !terms_.tokensCarried) {
       TimePoint& last = sessions_.try_emplace(st.session, kNever).first->second;
       last = std::max(last, *r.position);
--- a/src/rules.h
+++ b/src/rules.h
@@ -167,6 +167,19 @@
   std::vector<TimePoint> cutAt;
   std::vector<double> coldBudget;
   std::vector<TimePoint> coldFilled;
+
+  // One more store, of which nothing is known; unmeasured counts as drained.
+  void grow(std::size_t workloads, double firstLimit, TimePoint now) {
+    for (auto* never : {&started, &position, &primaryAt, &replicaAt, &reported, &probedAt, &renewal,
+                        &probeDue, &heard, &blockedUntil, &sentAt, &cutAt})
+      never->push_back(kNever);
+    for (auto* flag : {&inList, &probing, &down}) flag->push_back(0);
+    group.push_back(-1), zone.push_back(-1), listed.push_back(Listed::up), weight.push_back(1);
+    drained.emplace_back(workloads, 1), returned.emplace_back(workloads, kNever),
+        role.push_back(Role::unknown);
+    goodShare.push_back(1), speed.push_back(1), healed.push_back(now), block.push_back({});
+    out.push_back(0), limit.push_back(firstLimit), coldBudget.push_back(0), coldFilled.push_back(now);
+  }
 };
 
 struct GroupState {
