--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -241,6 +241,66 @@
   b.pass(320);
 }
 
+void repeats() {
+  Bench b(Bench::terms({kWrite}));
+  b.list(1);
+  b.note(
+      "danger: a client's repeat taken for new ends late; in a queue it stands and is rejected as half gone");
+  for (int k = 0; k < 4; ++k) b.arrive(0);
+  b.round();
+  b.arrive(0, 2000, 0, true), b.arrive(0);
+  b.pass(300);
+}
+
+void standing() {
+  Bench b(Bench::terms({kBounded}));
+  b.list(2);
+  b.note("danger: a position that stands still is no report to be renewed; it is looked at by its lag");
+  TimePoint stands = b.clock - ms(20);
+  int probes = 0;
+  b.quiet = true;
+  for (int k = 1; k <= 800; ++k) {
+    b.probed = -1;
+    if (k % 20 == 0) b.arrive(0, 300);
+    b.pass(5);
+    if (b.probed == 1) ++probes, b.report(1, (b.clock - stands).seconds() * 1000);
+    if (k % 200 == 0) std::printf("after %d ms: %d probes\n", k * 5, probes);
+  }
+}
+
+void manyFronts() {
+  Terms t = Bench::terms({kAny});
+  t.fronts = 20;
+  Bench b(t);
+  b.list(2);
+  b.note("danger: twenty fronts with one each crowd a store; slow answers space the sends of each in time");
+  b.quiet = true;
+  for (int k = 1; k <= 30; ++k) {
+    b.last = -1;
+    b.arrive(0, 300);
+    b.round();
+    bool sent = b.last == 1;
+    b.clock = b.clock + ms(250);
+    if (sent) b.answer(b.lastStmt, Ending::ok, Role::unknown, 0, -1, 250);
+    if (k % 5 == 0) std::printf("statement %d: %s\n", k, sent ? "sent at once" : "held");
+    b.pass(100);
+  }
+}
+
+void tenantShares() {
+  Terms t = Bench::terms({kWrite});
+  t.tenants = {{10}, {10}}, t.overShareWorth = 0.2, t.fronts = 1;
+  Bench b(t);
+  b.list(1);
+  b.note("tenant 0 sends far beyond its share; when room is short its excess waits behind tenant 1");
+  b.quiet = true;
+  std::vector<int> stmts;
+  for (int k = 0; k < 40; ++k) b.arrive(0), b.round();
+  int other = b.arrive(0, 2000, 0, false, 1);
+  std::printf("tenant 1 waits with #%d\n", other);
+  for (int k = 0; k < 16; ++k) b.quiet = k < 14, b.answer(k, Ending::ok, Role::primary), b.round();
+}
+
 void askedList() {
   Terms t = Bench::terms({kAny});
   t.mustAsk = true;
@@ -271,6 +331,10 @@
     {"fastErrors", fastErrors},
     {"longReads", longReads},
     {"askedList", askedList},
+    {"repeats", repeats},
+    {"standing", standing},
+    {"manyFronts", manyFronts},
+    {"tenantShares", tenantShares},
 };
 
 }  // namespace
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -47,15 +47,18 @@
   void report(int s, double age, bool primary = false) {
     rules.probed(s, true, {clock - ms(age), primary}, clock);
   }
-  int arrive(int workload, double patience = 2000, double sinceWrite = 0) {
+  int arrive(int workload, double patience = 2000, double sinceWrite = 0, bool repeated = false,
+             int tenant = 0) {
     Arrival a;
     a.workload = workload, a.group = 0, a.giveUpAt = clock + ms(patience), a.sinceWrite = ms(sinceWrite);
+    a.repeated = repeated, a.tenant = tenant;
     rules.arrived(next_, a, clock);
     return next_++;
   }
-  void answer(int stmt, Ending ending, Role role = Role::unknown, int execution = 0, double age = -1) {
+  void answer(int stmt, Ending ending, Role role = Role::unknown, int execution = 0, double age = -1,
+              double took = 20) {
     Result r;
-    r.execution = execution, r.ending = ending, r.role = role, r.took = ms(20),
+    r.execution = execution, r.ending = ending, r.role = role, r.took = ms(took),
     r.closed = ending == Ending::ok;
     if (age >= 0) r.position = clock - ms(age);
     rules.resolved(stmt, r, clock);
@@ -88,30 +91,34 @@
   }
 
   void send(int stmt, int store, TimePoint) override {
-    last = store;
-    if (!quiet) say("send", stmt), std::printf(" to %d\n", store);
-  }
-  void cancel(int stmt, int execution) override {
-    say("cancel", stmt), std::printf(" execution %d\n", execution);
+    last = store, lastStmt = stmt;
+    say("send #%d to %d", stmt, store);
   }
+  void cancel(int stmt, int execution) override { say("cancel #%d execution %d", stmt, execution); }
   void reject(int stmt, Span back) override {
-    say("reject", stmt), std::printf(", come back after %.0f\n", back.seconds() * 1000);
+    say("reject #%d, come back after %d", stmt, static_cast<int>(back.us / 1000));
   }
-  void abort(int stmt) override { say("abort", stmt), std::printf("\n"); }
+  void abort(int stmt) override { say("abort #%d", stmt); }
   void probe(int store) override {
-    if (probes) std::printf("%6.0f probe %d\n", at(), store);
+    probed = store;
+    if (probes) say("probe %d", store);
   }
-  void watchList() override { std::printf("%6.0f watch the list\n", at()); }
+  void watchList() override { say("watch the list"); }
   void wake(Span) override {}
 
   TimePoint clock{1'000'000'000};
   Rules rules;
   bool quiet = false, probes = false;
-  int last = -1;
+  int last = -1, lastStmt = -1, probed = -1;
 
  private:
-  double at() const { return (clock - TimePoint{1'000'000'000}).seconds() * 1000; }
-  void say(const char* what, int stmt) { std::printf("%6.0f %s #%d", at(), what, stmt); }
+  template <class... Values>
+  void say(const char* format, Values... values) {
+    if (quiet) return;
+    std::printf("%6.0f ", (clock - TimePoint{1'000'000'000}).seconds() * 1000);
+    std::printf(format, values...);
+    std::printf("\n");
+  }
   int next_ = 0;
 };
 
