--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -463,7 +463,7 @@
   // Danger: many fronts with one each are too many already. Below one the limit spaces sends out in time.
   double limit = stores_.limit[s];
   if (stores_.out[s] >= std::max(1.0, std::floor(limit * share))) return false;
-  if (limit < 1 && now - stores_.sentAt[s] < typical_[st.workload] * (1 / limit)) return false;
+  if (limit < 1 && now < stores_.freeAt[s]) return false;
   return warmth(s, now) >= 1 || stores_.coldBudget[s] > 0;
 }
 
@@ -678,7 +678,7 @@
   Stmt& st = stmts_[stmt];
   st.executions.push_back({s, now, true, false, true});
   ++stores_.out[s];
-  stores_.sentAt[s] = now;
+  stores_.freeAt[s] = now + typical_[st.workload] * (1 / stores_.limit[s]);
   if (warmth(s, now) < 1) stores_.coldBudget[s] -= least_[st.workload].seconds();
   if (stores_.block[s] > Span{}) stores_.blockedUntil[s] = now + stores_.block[s];  // a trial: one at a time
   out.send(stmt, s, st.giveUpAt);
--- a/src/rules.h
+++ b/src/rules.h
@@ -162,7 +162,7 @@
   std::vector<char> down;
   // load
   std::vector<int> out;
-  std::vector<TimePoint> sentAt;  // last
+  std::vector<TimePoint> freeAt;  // where the limit is below one: when it may be sent the next
   std::vector<double> limit;
   std::vector<TimePoint> cutAt;
   std::vector<double> coldBudget;
@@ -171,7 +171,7 @@
   // One more store, of which nothing is known; unmeasured counts as drained.
   void grow(std::size_t workloads, double firstLimit, TimePoint now) {
     for (auto* never : {&started, &position, &primaryAt, &replicaAt, &reported, &probedAt, &renewal,
-                        &probeDue, &heard, &blockedUntil, &sentAt, &cutAt})
+                        &probeDue, &heard, &blockedUntil, &freeAt, &cutAt})
       never->push_back(kNever);
     for (auto* flag : {&inList, &probing, &down}) flag->push_back(0);
     group.push_back(-1), zone.push_back(-1), listed.push_back(Listed::up), weight.push_back(1);
