--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -43,6 +43,7 @@
 // Health.
 constexpr double kLearn = 0.1;        // weight of one outcome in a running share
 constexpr double kFirstUsual = 0.25;  // of the SLO time, taken as usual until answers tell
+constexpr double kWell = 0.5;         // good share from which a store takes its turn as host of long reads
 constexpr double kForget = 8;         // SLO times after which a bad share is mostly forgotten
 constexpr double kBlockCap = 8;       // connect time-outs: the longest block
 // In-flight limit.
@@ -63,6 +64,7 @@
 constexpr double kSilent = 8;   // answers that a store should have given since its last, to count as silent
 constexpr double kOverdue = 3;  // usual times, and
 constexpr double kOverdueShare = 0.5;  // of the SLO time: an execution older than both is overdue
+constexpr double kOverdueHurts = 0.3;  // of a store's good share that goes with an overdue execution
 constexpr double kFurther = 0.05;      // second copies earned by each statement
 constexpr double kFurtherCap = 16;
 // Cold share.
@@ -249,8 +251,8 @@
   int taken = std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
   for (int s : g.members) {
     if (s == g.primary || stores_.listed[s] != Listed::up) continue;
-    rank += !stores_.down[s];
-    if (!usable(s, now) || (packed && rank > taken)) continue;
+    rank += !stores_.down[s] && stores_.goodShare[s] > kWell;
+    if (!usable(s, now) || (packed && (rank > taken || rank < 1))) continue;
     awaited |= stores_.probing[s] && !(w.level == Level::bounded && stores_.position[s] > kNever &&
                                        stores_.drained[s][st.workload]);
     if (!measured(s, st, now)) continue;
@@ -636,6 +638,12 @@
           w.level == Level::write && g.primary >= 0 && g.primary != e.store && g.primarySince > e.sent;
       bool overdue = w.effect == Effect::idempotent &&
                      (silent || age > std::max(usual * kOverdue, w.slo * kOverdueShare));
+      if (overdue && !e.overdue) {
+        // Danger: a store that answers some and leaves others out is neither silent nor full of errors.
+        st.executions[k].overdue = true;
+        stores_.goodShare[e.store] -= kOverdueHurts * stores_.goodShare[e.store];
+        cutLimit(e.store, e.sent, now);
+      }
       if (terms_.mayCancel && (moved || (overdue && silent && !terms_.secondCopies))) {
         st.executions[k].cancelled = true;
         out.cancel(stmt, static_cast<int>(k));
@@ -676,7 +684,7 @@
 
 void Rules::send(int stmt, int s, TimePoint now, Writer& out) {
   Stmt& st = stmts_[stmt];
-  st.executions.push_back({s, now, true, false, true});
+  st.executions.push_back({.store = s, .sent = now, .out = true});
   ++stores_.out[s];
   stores_.freeAt[s] = now + typical_[st.workload] * (1 / stores_.limit[s]);
   if (warmth(s, now) < 1) stores_.coldBudget[s] -= least_[st.workload].seconds();
--- a/src/rules.h
+++ b/src/rules.h
@@ -117,6 +117,7 @@
   TimePoint sent;
   bool out = false;
   bool cancelled = false;
+  bool overdue = false;
   bool mayHaveRun = true;
 };
 
