--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -24,6 +24,7 @@
 constexpr double kReentry = 0.75;  // above the age that a report has when it comes in, or none would return
 constexpr double kSpill = 0.1;     // of the SLO time that a long read waits before it takes one more replica
 constexpr double kLongMembers = 0.34;  // of a group that long reads may take at the most
+constexpr double kHostShare = 0.5;     // of a host's limit that short reads may fill
 constexpr double kSlowStart = 10;      // SLO times (the smallest) over which a returned replica ramps up
 // The list, as shares of the time after which a front must have asked.
 constexpr double kAskFirst = 0.1;
@@ -257,7 +258,11 @@
                                        stores_.drained[s][st.workload]);
     if (!measured(s, st, now)) continue;
     known = true;
-    if (room(s, stmt, now)) (hosted && rank <= most ? hosting : fit).push_back(s);
+    if (!room(s, stmt, now)) continue;
+    if (!hosted || rank > most)
+      fit.push_back(s);
+    else if (stores_.out[s] < stores_.limit[s] * kHostShare)
+      hosting.push_back(s);
   }
   if (!hosting.empty()) return fewest(hosting, stmt, now);
   if (!fit.empty()) return fewest(fit, stmt, now);
