--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -23,7 +23,7 @@
 constexpr double kFloor = 0.10;
 constexpr double kReentry = 0.75;  // above the age that a report has when it comes in, or none would return
 constexpr double kSpill = 0.1;     // of the SLO time that a long read waits before it takes one more replica
-constexpr double kLongMembers = 0.34;  // of a group that long reads may take at the most
+constexpr double kLongMembers = 0.5;   // of a group that long reads may take at the most
 constexpr double kHostShare = 0.5;     // of a host's limit that short reads may fill
 constexpr double kSlowStart = 10;      // SLO times (the smallest) over which a returned replica ramps up
 // The list, as shares of the time after which a front must have asked.
