--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -23,10 +23,9 @@
 constexpr double kFloor = 0.10;
 constexpr double kReentry = 0.75;  // above the age that a report has when it comes in, or none would return
 constexpr double kSpill = 0.1;     // of the SLO time that a long read waits before it takes one more replica
-constexpr double kLongMembers = 0.5;  // of a group that long reads may take at the most,
-constexpr double kLongLead = 1.0;     // and of it for each part of the work that they are
-constexpr double kHostShare = 0.5;    // of a host's limit that short reads may fill
-constexpr double kSlowStart = 10;     // SLO times (the smallest) over which a returned replica ramps up
+constexpr double kLongMembers = 0.34;  // of a group that long reads may take at the most
+constexpr double kHostShare = 0.5;     // of a host's limit that short reads may fill
+constexpr double kSlowStart = 10;      // SLO times (the smallest) over which a returned replica ramps up
 // The list, as shares of the time after which a front must have asked.
 constexpr double kAskFirst = 0.1;
 constexpr double kAskLast = 0.5;
@@ -249,9 +248,7 @@
   // more. Short reads that any may answer go there first too: on a replica that lags they would keep it
   // behind.
   bool packed = longRead(st.workload), hosted = w.level == Level::any && !packed && anyLongRead();
-  double part = std::min(kLongMembers, g.longRate / std::max(g.workRate, 1e-9) * kLongLead);
-  int most = std::max(1, static_cast<int>(std::round(static_cast<double>(g.members.size()) * part))),
-      rank = 0;
+  int most = std::max(1, static_cast<int>(static_cast<double>(g.members.size()) * kLongMembers)), rank = 0;
   int taken = std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
   for (int s : g.members) {
     if (s == g.primary || stores_.listed[s] != Listed::up) continue;
@@ -729,7 +726,6 @@
          fade = std::exp(-std::max(0.0, (now - std::max(g.rated, now - Span{100'000'000})).seconds()) / tau);
   g.rated = now;
   g.workRate = g.workRate * fade + least_[a.workload].seconds() / tau;
-  g.longRate = g.longRate * fade + (longRead(a.workload) ? least_[a.workload].seconds() / tau : 0);
   g.boundedRate = g.boundedRate * fade + (w.level == Level::bounded ? 1 / tau : 0);
   furtherBudget_ = std::min(kFurtherCap, furtherBudget_ + kFurther);
   open_.push_back(stmt);
--- a/src/rules.h
+++ b/src/rules.h
@@ -192,7 +192,6 @@
   TimePoint searched = kNever;
   TimePoint primarySince = kNever;
   double workRate = 0;     // offered to this front, in store seconds a second
-  double longRate = 0;      // the long reads' part of it
   double boundedRate = 0;  // bounded and session reads a second
   double doneRate = 0;     // completions a second
   TimePoint rated = kNever;
