--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -390,6 +390,7 @@
              std::pair(boundedDrained(b), stores_.probeDue[b]);
     });
     double flow = g.boundedRate * smallestBound_.seconds();
+    if (have > 0) unplaced = 0;  // what waits now waits for room
     double want = unplaced > 0 || flow >= kSteady ? 1 + kLead * (flow + unplaced * kSoft) : 0;
     for (int s : due) {
       if (stores_.position[s] > kNever && have >= want && !(lost && writes && have < 1)) continue;
