--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -40,7 +40,7 @@
 constexpr double kSteady = 0.5;   // bounded reads in the smallest bound, from which positions are kept young
 constexpr double kLagging = 1.5;  // times the oldest a healthy replica's report can be
 constexpr double kLikely = 0.6;   // of the period learned: two reports closer than that tell no period
-constexpr double kLead = 1.5;     // measured replicas wanted for each bounded read in flight
+constexpr double kLead = 0.75;    // measured replicas wanted for each bounded read in flight
 // Health.
 constexpr double kLearn = 0.1;        // weight of one outcome in a running share
 constexpr double kFirstUsual = 0.25;  // of the SLO time, taken as usual until answers tell
@@ -390,7 +390,6 @@
              std::pair(boundedDrained(b), stores_.probeDue[b]);
     });
     double flow = g.boundedRate * smallestBound_.seconds();
-    if (have > 0) unplaced = 0;  // what waits now waits for room
     double want = unplaced > 0 || flow >= kSteady ? 1 + kLead * (flow + unplaced * kSoft) : 0;
     for (int s : due) {
       if (stores_.position[s] > kNever && have >= want && !(lost && writes && have < 1)) continue;
