--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -379,7 +379,9 @@
     std::vector<int> due;
     for (int s : g.members) {
       bool young = now - stores_.position[s] < smallestBound_ * kReentry;
-      have += stores_.probing[s] || (s != g.primary && young);
+      // One looked at in vain just now counts too: when all stand at one commit, one look tells as much as six.
+      bool looked = now - stores_.probedAt[s] < smallestBound_ * kFirstPace;
+      have += stores_.probing[s] || (s != g.primary && (young || looked));
       if (stores_.probing[s] || stores_.listed[s] != Listed::up || now < stores_.probeDue[s]) continue;
       if (stores_.position[s] == kNever || (!young && s != g.primary && usable(s, now)) || (lost && writes))
         due.push_back(s);
