Probes try dead stores instead of statements, blocks double each time

It holds against dead stores, full connection tables and cut links; it may hurt where probes pass and connections don't.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -379,10 +379,16 @@
     std::vector<int> due;
     for (int s : g.members) {
       bool young = now - stores_.position[s] < smallestBound_ * kReentry;
-      // One looked at in vain just now counts too: when all stand at one commit, one look tells as much as six.
+      // One looked at in vain just now counts too: when all stand at one commit, one look tells as much as
+      // six.
       bool looked = now - stores_.probedAt[s] < smallestBound_ * kFirstPace;
       have += stores_.probing[s] || (s != g.primary && (young || looked));
-      if (stores_.probing[s] || stores_.listed[s] != Listed::up || now < stores_.probeDue[s]) continue;
+      if (stores_.probing[s] || stores_.listed[s] != Listed::up) continue;
+      if (stores_.down[s] && stores_.blockedUntil[s] <= now) {
+        stores_.probing[s] = 1;
+        out.probe(s);
+      }
+      if (stores_.down[s] || now < stores_.probeDue[s]) continue;
       if (stores_.position[s] == kNever || (!young && s != g.primary && usable(s, now)) || (lost && writes))
         due.push_back(s);
     }
@@ -407,8 +413,10 @@
   stores_.probing[s] = 0;
   if (!ok) {
     stores_.probeDue[s] = now + smallestBound_ * kSlowestPace;
+    if (stores_.down[s]) blockStore(s, now, true);
     return;
   }
+  if (stores_.down[s]) healed(s, now);
   if (report.position) {
     learnRefresh(s, *report.position, now);
     learnPosition(s, *report.position, refresh_ + reportAge_, now);
@@ -419,25 +427,32 @@
 // ---- 3. health from outcomes ----
 
 bool Rules::usable(int s, TimePoint now) const {
-  return stores_.listed[s] == Listed::up && stores_.blockedUntil[s] <= now;
+  // Danger: a statement that tries a dead or cut off store waits for a connection; probes try it instead.
+  return stores_.listed[s] == Listed::up && stores_.blockedUntil[s] <= now &&
+         !(stores_.down[s] && terms_.mayProbe);
 }
 
 void Rules::blockStore(int s, TimePoint now, bool down) {
   Span first = terms_.connectTimeout;
   stores_.block[s] = stores_.block[s] > Span{} ? std::min(stores_.block[s] * 2, first * kBlockCap) : first;
   stores_.blockedUntil[s] = now + stores_.block[s];
+  stores_.blockedAt[s] = now;
   stores_.down[s] |= down;
 }
 
+void Rules::healed(int s, TimePoint now) {
+  // Danger: a process that died and answers again is cold long before the list says that it started.
+  if (stores_.down[s]) stores_.started[s] = std::max(stores_.started[s], now);
+  stores_.down[s] = 0, stores_.blockedUntil[s] = kNever, stores_.block[s] = {};
+}
+
 void Rules::learnHealth(int s, const Workload& w, const Result& r, TimePoint sent, TimePoint now) {
   Stores& S = stores_;
   bool spoke = r.ending == Ending::ok || r.ending == Ending::miss || r.ending == Ending::full ||
                r.ending == Ending::error;
   if (spoke) S.heard[s] = now;
   if (r.ending == Ending::ok || r.ending == Ending::miss) {
-    // Danger: a process that died and answers again is cold long before the list says that it started.
-    if (S.down[s]) S.started[s] = std::max(S.started[s], now), S.down[s] = 0;
-    S.blockedUntil[s] = kNever, S.block[s] = {};
+    healed(s, now);
   }
   if (r.ending == Ending::ok) {
     S.goodShare[s] += kLearn * (1 - S.goodShare[s]);
@@ -454,7 +469,7 @@
     cutLimit(s, sent, now);
     if (S.out[s] == 0) blockStore(s, now, false);
   } else if (r.ending == Ending::connectFailed || r.ending == Ending::reset) {
-    if (S.blockedUntil[s] <= now) blockStore(s, now, true);
+    if (sent >= S.blockedAt[s]) blockStore(s, now, true);  // what was sent before the block tells nothing new
   }
 }
 
@@ -777,10 +792,10 @@
   }
   for (std::size_t s = 0; s < stores_.group.size(); ++s) {
     fillCold(static_cast<int>(s), now);
-    double fade = 1 - std::exp(-((now - stores_.healed[s]) / (smallestSlo_ * kForget)));
+    double fade = 1 - std::exp(-((now - stores_.faded[s]) / (smallestSlo_ * kForget)));
     stores_.goodShare[s] += fade * (1 - stores_.goodShare[s]);
     stores_.speed[s] += fade * (1 - stores_.speed[s]);
-    stores_.healed[s] = now;
+    stores_.faded[s] = now;
   }
   watchExecutions(now, out);
   probeRound(now, out);  // before reads are placed: they may await the answer
--- a/src/rules.h
+++ b/src/rules.h
@@ -158,7 +158,7 @@
   std::vector<TimePoint> probeDue;
   // health
   std::vector<double> goodShare, speed;
-  std::vector<TimePoint> heard, healed, blockedUntil;
+  std::vector<TimePoint> heard, faded, blockedUntil, blockedAt;
   std::vector<Span> block;
   std::vector<char> down;
   // load
@@ -172,13 +172,13 @@
   // One more store, of which nothing is known; unmeasured counts as drained.
   void grow(std::size_t workloads, double firstLimit, TimePoint now) {
     for (auto* never : {&started, &position, &primaryAt, &replicaAt, &reported, &probedAt, &renewal,
-                        &probeDue, &heard, &blockedUntil, &freeAt, &cutAt})
+                        &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt})
       never->push_back(kNever);
     for (auto* flag : {&inList, &probing, &down}) flag->push_back(0);
     group.push_back(-1), zone.push_back(-1), listed.push_back(Listed::up), weight.push_back(1);
     drained.emplace_back(workloads, 1), returned.emplace_back(workloads, kNever),
         role.push_back(Role::unknown);
-    goodShare.push_back(1), speed.push_back(1), healed.push_back(now), block.push_back({});
+    goodShare.push_back(1), speed.push_back(1), faded.push_back(now), block.push_back({});
     out.push_back(0), limit.push_back(firstLimit), coldBudget.push_back(0), coldFilled.push_back(now);
   }
 };
@@ -242,6 +242,7 @@
   void learnRefresh(int s, TimePoint position, TimePoint now);
   // health
   bool usable(int s, TimePoint now) const;
+  void healed(int s, TimePoint now);
   void blockStore(int s, TimePoint now, bool down);
   void learnHealth(int s, const Workload& w, const Result& r, TimePoint sent, TimePoint now);
   // in-flight limit and shedding
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -301,6 +301,26 @@
   for (int k = 0; k < 16; ++k) b.quiet = k < 14, b.answer(k, Ending::ok, Role::primary), b.round();
 }
 
+void deadStore() {
+  Bench b(Bench::terms({kAny}));
+  b.list(2);
+  b.arrive(0);
+  b.round();
+  b.report(0, 10, true), b.report(1, 10);
+  b.note("danger: statements that try a dead store wait for a connection; probes do it, at growing gaps");
+  b.answer(0, Ending::connectFailed);
+  b.round();
+  for (int k = 0; k < 800; ++k) {
+    b.probed = -1;
+    b.pass(5);
+    if (b.probed != 1) continue;
+    b.say("probe 1 finds %s", k < 500 ? "nothing" : "it up");
+    b.rules.probed(1, k >= 500, {}, b.clock);
+  }
+  b.arrive(0);
+  b.pass(5);
+}
+
 void askedList() {
   Terms t = Bench::terms({kAny});
   t.mustAsk = true;
@@ -331,6 +351,7 @@
     {"fastErrors", fastErrors},
     {"longReads", longReads},
     {"askedList", askedList},
+    {"deadStore", deadStore},
     {"repeats", repeats},
     {"standing", standing},
     {"manyFronts", manyFronts},
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -106,12 +106,6 @@
   void watchList() override { say("watch the list"); }
   void wake(Span) override {}
 
-  TimePoint clock{1'000'000'000};
-  Rules rules;
-  bool quiet = false, probes = false;
-  int last = -1, lastStmt = -1, probed = -1;
-
- private:
   template <class... Values>
   void say(const char* format, Values... values) {
     if (quiet) return;
@@ -119,6 +113,13 @@
     std::printf(format, values...);
     std::printf("\n");
   }
+
+  TimePoint clock{1'000'000'000};
+  Rules rules;
+  bool quiet = false, probes = false;
+  int last = -1, lastStmt = -1, probed = -1;
+
+ private:
   int next_ = 0;
 };
 
