--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -188,6 +188,7 @@
   return false;
 }
 
+// Is the replica too far behind for every bounded workload?
 bool Rules::boundedDrained(int s) const {
   for (std::size_t w = 0; w < terms_.workloads.size(); ++w)
     if (terms_.workloads[w].level == Level::bounded && !stores_.drained[s][w]) return false;
@@ -279,9 +280,7 @@
   if (terms_.storesCheck && w.level != Level::write && w.level != Level::any && st.tries == 0) {
     int best = -1;
     for (int s : g.members) {
-      bool lagging =
-          std::all_of(stores_.drained[s].begin(), stores_.drained[s].end(), [](char d) { return d; });
-      if (s == g.primary || lagging || !usable(s, now) || !room(s, stmt, now)) continue;
+      if (s == g.primary || boundedDrained(s) || !usable(s, now) || !room(s, stmt, now)) continue;
       if (best < 0 || stores_.position[s] > stores_.position[best]) best = s;
     }
     if (best >= 0) return best;
--- a/src/rules.h
+++ b/src/rules.h
@@ -40,7 +40,6 @@
   std::uint64_t seed = 0;
   int fronts = 1;
   int maxExecutions = 1;
-  int zone = -1;
   Span tick;
   TimePoint origin;  // positions count from here
   std::vector<Workload> workloads;
@@ -193,7 +192,6 @@
   TimePoint primarySince = kNever;
   double workRate = 0;     // offered to this front, in store seconds a second
   double boundedRate = 0;  // bounded and session reads a second
-  double doneRate = 0;     // completions a second
   TimePoint rated = kNever;
 };
 
--- a/src/wire/adapter.cpp
+++ b/src/wire/adapter.cpp
@@ -182,7 +182,6 @@
   t.fronts = static_cast<int>(p.integer("siblings", 1));
   t.tick = Span{p.integer("tick")};
   zones = p.list("failure_domains");
-  if (const std::string* zone = p.find("zone")) t.zone = placeOf(zones, *zone);
   std::vector<std::string> levels = p.list("extra.read_level"), bounds = p.list("extra.lag_allowed");
   std::int64_t count = p.integer("classes.count");
   if (count < 1 || count > 10'000 || levels.size() != static_cast<std::size_t>(count))
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -21,7 +21,7 @@
 
   static Terms terms(std::vector<Workload> workloads) {
     Terms t;
-    t.seed = 7, t.fronts = 2, t.maxExecutions = 6, t.zone = 0, t.tick = ms(5),
+    t.seed = 7, t.fronts = 2, t.maxExecutions = 6, t.tick = ms(5),
     t.workloads = std::move(workloads);
     t.secondCopies = t.mayCancel = t.mayProbe = t.roleFollows = t.namesComeBack = true;
     t.maxComeBack = ms(1000), t.connectTimeout = ms(250), t.askEvery = ms(10000);
