--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -72,9 +72,7 @@
 constexpr double kColdHeadroom = 0.4;  // of the multiple at which a cold store falls over
 constexpr double kColdBurst = 0.25;    // of the window in which that is judged
 
-double unit(std::ranlux24_base& chance) {
-  return (static_cast<double>(chance()) + 0.5) / 16777216.0;
-}
+double unit(std::ranlux24_base& chance) { return (static_cast<double>(chance()) + 0.5) / 16777216.0; }
 
 }  // namespace
 
@@ -97,6 +95,8 @@
     if (w.level == Level::bounded) smallestBound_ = std::min(smallestBound_, w.bound);
   refresh_ = smallestBound_;
   reportAge_ = smallestBound_ * kSoft;
+  memory_ = std::max(terms_.coldRamp * kMemory, smallestSlo_);
+  terms_.askEvery = std::max(terms_.askEvery, smallestSlo_);
   askBackoff_ = terms_.askEvery * kAskFirst;
   if (terms_.mustAsk) askAt_ = now;
 }
@@ -509,12 +509,12 @@
   for (const Tenant& t : terms_.tenants) quotas += t.quota;
   if (st.tenant < 0 || quotas <= 0) return;
   if (tenants_.empty()) tenants_.resize(terms_.tenants.size());
-  double tau = terms_.coldRamp.seconds() * kMemory, rates = 0;
-  double passed = (now - std::max(tenantsAt_, now - terms_.coldRamp)).seconds();
+  double tau = memory_.seconds(), rates = 0;
+  double passed = (now - std::max(tenantsAt_, now - memory_ * 4)).seconds();
   tenantsAt_ = now;
   for (std::size_t k = 0; k < tenants_.size(); ++k) {
-    tenants_[k].rate =
-        tenants_[k].rate * std::exp(-passed / tau) + (static_cast<int>(k) == st.tenant ? 1 / tau : 0);
+    tenants_[k].rate = tenants_[k].rate * std::exp(-passed / tau) +
+                       (static_cast<int>(k) == st.tenant ? 1 / tau : 0);
     rates += tenants_[k].rate;
   }
   double part = std::max(1.0 / terms_.fronts, rates / quotas);
@@ -630,8 +630,8 @@
   for (int stmt : open_)
     for (const Execution& e : stmts_[stmt].executions)
       if (e.out)
-        missing[e.store] +=
-            (now - std::max(stores_.heard[e.store], e.sent)) / typical_[stmts_[stmt].workload];
+        missing[e.store] += (now - std::max(stores_.heard[e.store], e.sent)) /
+                            typical_[stmts_[stmt].workload];
   return missing;
 }
 
@@ -655,8 +655,8 @@
       if (!e.out || e.cancelled) continue;
       Span age = now - e.sent, usual = typical_[st.workload];
       bool silent = missing[e.store] > kSilent && age > usual;
-      bool moved =
-          w.level == Level::write && g.primary >= 0 && g.primary != e.store && g.primarySince > e.sent;
+      bool moved = w.level == Level::write && g.primary >= 0 && g.primary != e.store &&
+                   g.primarySince > e.sent;
       bool overdue = w.effect == Effect::idempotent &&
                      (silent || age > std::max(usual * kOverdue, w.slo * kOverdueShare));
       if (overdue && !e.overdue) {
@@ -698,8 +698,8 @@
 void Rules::fillCold(int s, TimePoint now) {
   if (stores_.group[s] < 0 || warmth(s, now) >= 1) return;
   double rate = coldRate(s, now), dt = (now - stores_.coldFilled[s]).seconds();
-  stores_.coldBudget[s] =
-      std::min(stores_.coldBudget[s] + rate * dt, rate * terms_.coldWindow.seconds() * kColdBurst);
+  stores_.coldBudget[s] = std::min(stores_.coldBudget[s] + rate * dt,
+                                   rate * terms_.coldWindow.seconds() * kColdBurst);
   stores_.coldFilled[s] = now;
 }
 
@@ -738,8 +738,8 @@
   }
   countTenant(st, now);
   GroupState& g = groups_[a.group];
-  double tau = terms_.coldRamp.seconds() * kMemory,
-         fade = std::exp(-std::max(0.0, (now - std::max(g.rated, now - Span{100'000'000})).seconds()) / tau);
+  double tau = memory_.seconds(), passed = (now - std::max(g.rated, now - memory_ * 10)).seconds();
+  double fade = std::exp(-passed / tau);
   g.rated = now;
   g.workRate = g.workRate * fade + least_[a.workload].seconds() / tau;
   g.boundedRate = g.boundedRate * fade + (w.level == Level::bounded ? 1 / tau : 0);
@@ -760,8 +760,8 @@
   if (r.position && r.role == Role::replica) learnPosition(e.store, *r.position, Span{}, now);
   learnHealth(e.store, w, r, e.sent, now);
   if (r.ending == Ending::ok) {
-    least_[st.workload] =
-        std::min(least_[st.workload] * (1 + kDrift), r.took * 0.5 + least_[st.workload] * 0.5);
+    least_[st.workload] = std::min(least_[st.workload] * (1 + kDrift),
+                                   r.took * 0.5 + least_[st.workload] * 0.5);
     if (w.level == Level::write && r.position && !terms_.tokensCarried) {
       TimePoint& last = sessions_.try_emplace(st.session, kNever).first->second;
       last = std::max(last, *r.position);
@@ -776,13 +776,9 @@
   if (!isOut(st)) groups_[st.group].waiting.push_back(stmt);
 }
 
-void Rules::gone(int stmt) {
-  stmts_[stmt].open = false;
-}
+void Rules::gone(int stmt) { stmts_[stmt].open = false; }
 
-void Rules::woken() {
-  wakeAt_ = kNever;
-}
+void Rules::woken() { wakeAt_ = kNever; }
 
 void Rules::decide(TimePoint now, Writer& out) {
   if (terms_.mustAsk && askAt_ > kNever && askAt_ <= now) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -277,6 +277,7 @@
   double furtherBudget_ = 0;
   Span refresh_, reportAge_;  // of reports: their period, and their age when they can first be seen
   Span smallestBound_, smallestSlo_;
+  Span memory_;  // how far back rates look
   TimePoint askAt_ = kNever;
   Span askBackoff_;
   std::vector<TenantState> tenants_;
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -73,9 +73,7 @@
   return parse<std::uint64_t>(fields_[k], what, 16);
 }
 
-bool Line::boolean(std::size_t k, const char* what) const {
-  return integer(k, what, 0, 1) == 1;
-}
+bool Line::boolean(std::size_t k, const char* what) const { return integer(k, what, 0, 1) == 1; }
 
 std::vector<std::pair<std::string_view, double>> Line::report(std::size_t k, const char* what) const {
   std::vector<std::pair<std::string_view, double>> values;
@@ -109,9 +107,7 @@
   return *value;
 }
 
-double Params::number(const std::string& path) const {
-  return wire::number(need(path), path.c_str());
-}
+double Params::number(const std::string& path) const { return wire::number(need(path), path.c_str()); }
 
 double Params::number(const std::string& path, double otherwise) const {
   return find(path) ? number(path) : otherwise;
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -10,9 +10,7 @@
 
 namespace reedchute::test {
 
-inline Span ms(double n) {
-  return Span{static_cast<std::int64_t>(n * 1000)};
-}
+inline Span ms(double n) { return Span{static_cast<std::int64_t>(n * 1000)}; }
 
 // One group: store 0 is listed as primary unless a scenario says otherwise; the rest are replicas.
 class Bench : public Writer {
@@ -21,8 +19,7 @@
 
   static Terms terms(std::vector<Workload> workloads) {
     Terms t;
-    t.seed = 7, t.fronts = 2, t.maxExecutions = 6, t.tick = ms(5),
-    t.workloads = std::move(workloads);
+    t.seed = 7, t.fronts = 2, t.maxExecutions = 6, t.tick = ms(5), t.workloads = std::move(workloads);
     t.secondCopies = t.mayCancel = t.mayProbe = t.roleFollows = t.namesComeBack = true;
     t.maxComeBack = ms(1000), t.connectTimeout = ms(250), t.askEvery = ms(10000);
     t.coldRamp = ms(10000), t.coldWindow = ms(1000), t.coldFrom = 0.25, t.coldMultiple = 2.5;
