A primary named by a report alone gets no current reads until it has answered

An untrue report could have sent bounded reads to a store that never was primary, which breaks the rule on stale reads; a write that it turns away untouched tells.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -285,6 +285,9 @@
     }
     if (best >= 0) return best;
   }
+  // Danger: a report may be untrue. Until the store itself has answered as primary it gets writes, which a
+  // replica turns away untouched, but no read that must be current.
+  if (g.primaryReported && !terms_.storesCheck && w.level != Level::write && w.level != Level::any) return -1;
   if (g.primary >= 0 && usable(g.primary, now)) return room(g.primary, stmt, now) ? g.primary : -1;
   return w.level == Level::write ? searchTurn(stmt, now) : -1;
 }
@@ -294,12 +297,12 @@
 void Rules::namePrimary(int g, int s, bool byList, TimePoint now) {
   GroupState& group = groups_[g];
   group.primary = s;
-  group.primaryListed = byList;
+  group.primaryListed = byList, group.primaryReported = false;
   group.primarySince = now;
 }
 
 // `at`: when the store was seen in that role. Answers are of now, reports of the position that they carry.
-void Rules::learnRole(int s, Role role, TimePoint at) {
+void Rules::learnRole(int s, Role role, TimePoint at, bool byReport) {
   if (role == Role::unknown || stores_.group[s] < 0) return;
   GroupState& g = groups_[stores_.group[s]];
   if (role == Role::primary) {
@@ -308,9 +311,9 @@
     stores_.role[s] = role;
     // Danger: two stores claim the role; the one seen in it last has it.
     if (g.primary != s && (g.primary < 0 || stores_.primaryAt[g.primary] < at))
-      namePrimary(stores_.group[s], s, false, at);
+      namePrimary(stores_.group[s], s, false, at), g.primaryReported = byReport;
     else if (g.primary == s)
-      g.primaryListed = false;
+      g.primaryListed = false, g.primaryReported &= byReport;
   } else if (at >= stores_.primaryAt[s]) {  // an older report says nothing about a store promoted since
     stores_.role[s] = role;
     stores_.replicaAt[s] = std::max(stores_.replicaAt[s], at);
@@ -419,7 +422,7 @@
   if (report.position) {
     learnRefresh(s, *report.position, now);
     learnPosition(s, *report.position, refresh_ + reportAge_, now);
-    if (report.primary) learnRole(s, *report.primary ? Role::primary : Role::replica, *report.position);
+    if (report.primary) learnRole(s, *report.primary ? Role::primary : Role::replica, *report.position, true);
   }
 }
 
@@ -756,7 +759,8 @@
   e.out = false;
   e.mayHaveRun = !(r.ending == Ending::full || r.ending == Ending::connectFailed ||
                    r.ending == Ending::moot || r.ending == Ending::miss);
-  learnRole(e.store, r.ending == Ending::miss && w.level == Level::write ? Role::replica : r.role, now);
+  learnRole(e.store, r.ending == Ending::miss && w.level == Level::write ? Role::replica : r.role, now,
+            false);
   if (r.position && r.role == Role::replica) learnPosition(e.store, *r.position, Span{}, now);
   learnHealth(e.store, w, r, e.sent, now);
   if (r.ending == Ending::ok) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -186,7 +186,8 @@
   std::vector<int> members;
   std::vector<int> waiting;  // statements not out anywhere, oldest first
   int primary = -1;
-  bool primaryListed = false;  // only the list has named it
+  bool primaryListed = false;    // only the list has named it
+  bool primaryReported = false;  // only a report has
   int turn = 0;
   TimePoint searched = kNever;
   TimePoint primarySince = kNever;
@@ -232,7 +233,7 @@
   int routeCurrent(int stmt, TimePoint now);
   void learnPosition(int s, TimePoint position, Span known, TimePoint now);
   // primary search
-  void learnRole(int s, Role role, TimePoint at);
+  void learnRole(int s, Role role, TimePoint at, bool byReport);
   void namePrimary(int g, int s, bool byList, TimePoint now);
   int searchTurn(int stmt, TimePoint now);
   // probe timing
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -152,6 +152,18 @@
   std::printf("sent at once: %d of 40\n", sent);
 }
 
+void untrueReport() {
+  Bench b(Bench::terms({kFresh, kWrite}));
+  b.list(2, -1);
+  b.note("danger: a report claims the role untruly; writes may find out, fresh reads wait for an answer");
+  b.report(1, 10, true);
+  b.arrive(0), b.arrive(1);
+  b.round();
+  b.pass(60);
+  b.answer(1, Ending::ok, Role::primary);
+  b.round();
+}
+
 void switchOver() {
   Bench b(Bench::terms({kWrite}));
   b.list(3);
@@ -351,6 +363,7 @@
     {"fastErrors", fastErrors},
     {"longReads", longReads},
     {"askedList", askedList},
+    {"untrueReport", untrueReport},
     {"deadStore", deadStore},
     {"repeats", repeats},
     {"standing", standing},
