--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -68,6 +68,8 @@
 constexpr double kOverdueHurts = 0.3;  // of a store's good share that goes with an overdue execution
 constexpr double kFurther = 0.05;      // second copies earned by each statement
 constexpr double kFurtherCap = 16;
+// Sessions remembered at once, where they carry no token.
+constexpr std::size_t kSessionCap = 100'000;
 // Cold share.
 constexpr double kColdHeadroom = 0.4;  // of the multiple at which a cold store falls over
 constexpr double kColdBurst = 0.25;    // of the window in which that is judged
@@ -88,11 +90,10 @@
     if (w.level == Level::bounded && w.bound <= Span{})
       throw std::invalid_argument("a bounded read has no bound");
     smallestSlo_ = std::min(smallestSlo_, w.slo);
+    if (w.level == Level::bounded) smallestBound_ = std::min(smallestBound_, w.bound);
     typical_.push_back(w.slo * kFirstUsual);
     least_.push_back(w.slo * kFirstUsual);
   }
-  for (const Workload& w : terms_.workloads)
-    if (w.level == Level::bounded) smallestBound_ = std::min(smallestBound_, w.bound);
   refresh_ = smallestBound_;
   reportAge_ = smallestBound_ * kSoft;
   memory_ = std::max(terms_.coldRamp * kMemory, smallestSlo_);
@@ -450,12 +451,9 @@
 
 void Rules::learnHealth(int s, const Workload& w, const Result& r, TimePoint sent, TimePoint now) {
   Stores& S = stores_;
-  bool spoke = r.ending == Ending::ok || r.ending == Ending::miss || r.ending == Ending::full ||
-               r.ending == Ending::error;
-  if (spoke) S.heard[s] = now;
-  if (r.ending == Ending::ok || r.ending == Ending::miss) {
-    healed(s, now);
-  }
+  bool well = r.ending == Ending::ok || r.ending == Ending::miss;
+  if (well || r.ending == Ending::full || r.ending == Ending::error) S.heard[s] = now;
+  if (well) healed(s, now);
   if (r.ending == Ending::ok) {
     S.goodShare[s] += kLearn * (1 - S.goodShare[s]);
     std::size_t ix = static_cast<std::size_t>(&w - terms_.workloads.data());
@@ -481,8 +479,8 @@
   const Stmt& st = stmts_[stmt];
   for (const Execution& e : st.executions)
     if (e.out && e.store == s) return false;
-  bool current = terms_.workloads[st.workload].level == Level::write ||
-                 terms_.workloads[st.workload].level == Level::fresh;
+  Level level = terms_.workloads[st.workload].level;
+  bool current = level == Level::write || level == Level::fresh;
   double share = s == groups_[st.group].primary && !current ? kReadShare
                  : longRead(st.workload)                    ? kLongRoom
                                                             : 1;
@@ -767,7 +765,12 @@
     least_[st.workload] = std::min(least_[st.workload] * (1 + kDrift),
                                    r.took * 0.5 + least_[st.workload] * 0.5);
     if (w.level == Level::write && r.position && !terms_.tokensCarried) {
-      TimePoint& last = sessions_.try_emplace(st.session, kNever).first->second;
+      // Danger: sessions pile up for as long as a front runs; past the cap all count as having written last.
+      if (sessions_.size() >= kSessionCap) {
+        for (const auto& known : sessions_) sessionFloor_ = std::max(sessionFloor_, known.second);
+        sessions_.clear();
+      }
+      TimePoint& last = sessions_.try_emplace(st.session, sessionFloor_).first->second;
       last = std::max(last, *r.position);
     }
   }
