--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -100,6 +100,8 @@
   terms_.askEvery = std::max(terms_.askEvery, smallestSlo_);
   askBackoff_ = terms_.askEvery * kAskFirst;
   if (terms_.mustAsk) askAt_ = now;
+  tenants_.resize(terms_.tenants.size());
+  for (const Tenant& t : terms_.tenants) quotas_ += t.quota;
 }
 
 // ---- the list ----
@@ -124,16 +126,16 @@
   // Where a vanished store is not bound by the drain rule the list does not prove what is up: health decides.
   if (e.listed != Listed::gone || terms_.goneBinds) S.listed[s] = e.listed;
   if (e.started && *e.started > S.started[s]) {
-    S.started[s] = *e.started;
-    S.blockedUntil[s] = kNever, S.block[s] = {}, S.down[s] = 0, S.goodShare[s] = 1;
+    S.started[s] = *e.started, S.goodShare[s] = 1;
+    unblock(s);
   }
   GroupState& g = groups_[e.group];
   if (e.primary && e.listed == Listed::up && S.role[s] == Role::unknown && g.primary != s &&
-      (g.primary < 0 || (terms_.roleFollows && (g.primaryListed || !usable(g.primary, now)))))
-    namePrimary(e.group, s, true, now);
+      (g.primary < 0 || (terms_.roleFollows && (g.named == Named::byList || !usable(g.primary, now)))))
+    namePrimary(e.group, s, Named::byList, now);
 }
 
-void Rules::listEnds(bool asked, TimePoint) {
+void Rules::listEnds(bool asked) {
   for (std::size_t s = 0; s < stores_.inList.size(); ++s)
     if (!stores_.inList[s] && terms_.goneBinds) stores_.listed[s] = Listed::gone;
   if (asked) askBackoff_ = terms_.askEvery * kAskFirst;
@@ -246,9 +248,8 @@
   std::vector<int> fit, hosting;
   bool known = false, awaited = false;
   // Danger: a replica may hold up its log while it runs a long read; spread over all, they leave none fresh.
-  // They fill members in list order, which is the same at every front, and wait a while before they take one
-  // more. Short reads that any may answer go there first too: on a replica that lags they would keep it
-  // behind.
+  // They fill members in list order, the same at every front, and wait a while before they take one more.
+  // Short reads that any may answer go there first too: on a replica that lags they would keep it behind.
   bool packed = longRead(st.workload), hosted = w.level == Level::any && !packed && anyLongRead();
   int most = std::max(1, static_cast<int>(static_cast<double>(g.members.size()) * kLongMembers)), rank = 0;
   int taken = std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
@@ -288,17 +289,23 @@
   }
   // Danger: a report may be untrue. Until the store itself has answered as primary it gets writes, which a
   // replica turns away untouched, but no read that must be current.
-  if (g.primaryReported && !terms_.storesCheck && w.level != Level::write && w.level != Level::any) return -1;
-  if (g.primary >= 0 && usable(g.primary, now)) return room(g.primary, stmt, now) ? g.primary : -1;
+  if (g.primary >= 0 && g.named == Named::byReport && !terms_.storesCheck && w.level != Level::write &&
+      w.level != Level::any)
+    return -1;
+  if (primaryUsable(g, now)) return room(g.primary, stmt, now) ? g.primary : -1;
   return w.level == Level::write ? searchTurn(stmt, now) : -1;
 }
 
 // ---- 1. primary search ----
 
-void Rules::namePrimary(int g, int s, bool byList, TimePoint now) {
+bool Rules::primaryUsable(const GroupState& g, TimePoint now) const {
+  return g.primary >= 0 && usable(g.primary, now);
+}
+
+void Rules::namePrimary(int g, int s, Named named, TimePoint now) {
   GroupState& group = groups_[g];
   group.primary = s;
-  group.primaryListed = byList, group.primaryReported = false;
+  group.named = named;
   group.primarySince = now;
 }
 
@@ -312,9 +319,9 @@
     stores_.role[s] = role;
     // Danger: two stores claim the role; the one seen in it last has it.
     if (g.primary != s && (g.primary < 0 || stores_.primaryAt[g.primary] < at))
-      namePrimary(stores_.group[s], s, false, at), g.primaryReported = byReport;
-    else if (g.primary == s)
-      g.primaryListed = false, g.primaryReported &= byReport;
+      namePrimary(stores_.group[s], s, byReport ? Named::byReport : Named::surely, at);
+    else if (g.primary == s && !(byReport && g.named == Named::byReport))
+      g.named = Named::surely;
   } else if (at >= stores_.primaryAt[s]) {  // an older report says nothing about a store promoted since
     stores_.role[s] = role;
     stores_.replicaAt[s] = std::max(stores_.replicaAt[s], at);
@@ -348,8 +355,8 @@
   TimePoint before = stores_.reported[s], asked = std::exchange(stores_.probedAt[s], now);
   Span age = now - position, pace = smallestBound_ * kFirstPace;
   stores_.reported[s] = position;
-  if (age >=
-      (refresh_ + reportAge_) * kLagging) {  // it lags, or stands still, and can't be fresh much sooner
+  // Where it lags or stands still it can't be fresh much sooner.
+  if (age >= (refresh_ + reportAge_) * kLagging) {
     stores_.probeDue[s] = now + std::min(std::max(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
     return;
   }
@@ -369,10 +376,15 @@
   stores_.probeDue[s] = std::max(now + pace, stores_.renewal[s]);
 }
 
+void Rules::probe(int s, Writer& out) {
+  stores_.probing[s] = 1;
+  out.probe(s);
+}
+
 void Rules::probeRound(TimePoint now, Writer& out) {
   if (!terms_.mayProbe) return;
   for (GroupState& g : groups_) {
-    bool lost = g.primary < 0 || !usable(g.primary, now), writes = false;
+    bool lost = !primaryUsable(g, now), writes = false;
     double unplaced = 0, have = 0;
     for (int stmt : g.waiting) {
       Level level = terms_.workloads[stmts_[stmt].workload].level;
@@ -382,15 +394,11 @@
     std::vector<int> due;
     for (int s : g.members) {
       bool young = now - stores_.position[s] < smallestBound_ * kReentry;
-      // One looked at in vain just now counts too: when all stand at one commit, one look tells as much as
-      // six.
+      // One looked at in vain just now counts too: when all stand at one commit, one look is enough.
       bool looked = now - stores_.probedAt[s] < smallestBound_ * kFirstPace;
       have += stores_.probing[s] || (s != g.primary && (young || looked));
       if (stores_.probing[s] || stores_.listed[s] != Listed::up) continue;
-      if (stores_.down[s] && stores_.blockedUntil[s] <= now) {
-        stores_.probing[s] = 1;
-        out.probe(s);
-      }
+      if (stores_.down[s] && stores_.blockedUntil[s] <= now) probe(s, out);
       if (stores_.down[s] || now < stores_.probeDue[s]) continue;
       if (stores_.position[s] == kNever || (!young && s != g.primary && usable(s, now)) || (lost && writes))
         due.push_back(s);
@@ -404,10 +412,9 @@
     double want = unplaced > 0 || flow >= kSteady ? 1 + kLead * (flow + unplaced * kSoft) : 0;
     for (int s : due) {
       if (stores_.position[s] > kNever && have >= want && !(lost && writes && have < 1)) continue;
-      stores_.probing[s] = 1;
       stores_.probeDue[s] = now + refresh_;
       ++have;
-      out.probe(s);
+      probe(s, out);
     }
   }
 }
@@ -446,20 +453,22 @@
 void Rules::healed(int s, TimePoint now) {
   // Danger: a process that died and answers again is cold long before the list says that it started.
   if (stores_.down[s]) stores_.started[s] = std::max(stores_.started[s], now);
-  stores_.down[s] = 0, stores_.blockedUntil[s] = kNever, stores_.block[s] = {};
+  unblock(s);
 }
 
-void Rules::learnHealth(int s, const Workload& w, const Result& r, TimePoint sent, TimePoint now) {
+void Rules::unblock(int s) { stores_.down[s] = 0, stores_.blockedUntil[s] = kNever, stores_.block[s] = {}; }
+
+void Rules::learnHealth(int s, int workload, const Result& r, TimePoint sent, TimePoint now) {
   Stores& S = stores_;
+  Span slo = terms_.workloads[workload].slo, &usual = typical_[workload];
   bool well = r.ending == Ending::ok || r.ending == Ending::miss;
   if (well || r.ending == Ending::full || r.ending == Ending::error) S.heard[s] = now;
   if (well) healed(s, now);
   if (r.ending == Ending::ok) {
     S.goodShare[s] += kLearn * (1 - S.goodShare[s]);
-    std::size_t ix = static_cast<std::size_t>(&w - terms_.workloads.data());
-    S.speed[s] += kLearn * 0.5 * (r.took / typical_[ix] - S.speed[s]);
-    typical_[ix] = typical_[ix] + (std::min(r.took, w.slo) - typical_[ix]) * (kLearn * 0.2);
-    if (r.took > w.slo * kSlowAnswer)
+    S.speed[s] += kLearn * 0.5 * (r.took / usual - S.speed[s]);
+    usual = usual + (std::min(r.took, slo) - usual) * (kLearn * 0.2);
+    if (r.took > slo * kSlowAnswer)
       cutLimit(s, sent, now);
     else if (S.out[s] + 1 >= S.limit[s] * 0.5)
       S.limit[s] += std::min(S.limit[s], 1 / S.limit[s]);
@@ -506,10 +515,7 @@
 // What a tenant sends beyond its share is worth little. A front sees only its own part of the traffic and
 // takes the tenants' shares as the same part of it.
 void Rules::countTenant(Stmt& st, TimePoint now) {
-  double quotas = 0;
-  for (const Tenant& t : terms_.tenants) quotas += t.quota;
-  if (st.tenant < 0 || quotas <= 0) return;
-  if (tenants_.empty()) tenants_.resize(terms_.tenants.size());
+  if (st.tenant < 0 || quotas_ <= 0) return;
   double tau = memory_.seconds(), rates = 0;
   double passed = (now - std::max(tenantsAt_, now - memory_ * 4)).seconds();
   tenantsAt_ = now;
@@ -518,7 +524,7 @@
                        (static_cast<int>(k) == st.tenant ? 1 / tau : 0);
     rates += tenants_[k].rate;
   }
-  double part = std::max(1.0 / terms_.fronts, rates / quotas);
+  double part = std::max(1.0 / terms_.fronts, rates / quotas_);
   for (std::size_t k = 0; k < tenants_.size(); ++k) {
     double fill = terms_.tenants[k].quota * part;
     tenants_[k].tokens = std::min(tenants_[k].tokens + fill * passed, std::max(1.0, fill * tau));
@@ -528,10 +534,14 @@
   if (!st.overShare) tokens -= 1;
 }
 
+bool Rules::late(const Stmt& st, TimePoint now) const {
+  return now + startTime(st.workload) > st.arrived + terms_.workloads[st.workload].slo;
+}
+
 double Rules::standing(const Stmt& st, TimePoint now) const {
   const Workload& w = terms_.workloads[st.workload];
   double worth = w.importance * (st.overShare ? terms_.overShareWorth : 1);
-  return now + startTime(st.workload) > st.arrived + w.slo ? worth * w.lateShare : worth;
+  return late(st, now) ? worth * w.lateShare : worth;
 }
 
 void Rules::dispatch(int g, TimePoint now, Writer& out) {
@@ -564,15 +574,13 @@
   for (int stmt : group.waiting) {
     const Stmt& st = stmts_[stmt];
     const Workload& w = terms_.workloads[st.workload];
-    bool late = now + startTime(st.workload) > st.arrived + w.slo;
-    bool lost = w.level != Level::any && (group.primary < 0 || !usable(group.primary, now));
-    bool hopeless = now + startTime(st.workload) > st.giveUpAt ||
-                    static_cast<int>(st.executions.size()) >= terms_.maxExecutions;
+    bool lost = w.level != Level::any && !primaryUsable(group, now);
+    bool hopeless = now + startTime(st.workload) > st.giveUpAt;
     // Past its SLO time it waits for a primary, or for room if it is still worth much; but it leaves its
     // client time to try again.
     bool worth = w.lateShare >= kWorthWaiting || (lost && w.lateShare > 0);
     bool waited = now - st.arrived > (st.giveUpAt - st.arrived) * kLateWait;
-    if (hopeless || (late && (!worth || waited))) giveUp(stmt, out);
+    if (hopeless || (late(st, now) && (!worth || waited))) giveUp(stmt, out);
   }
   std::erase_if(group.waiting, [&](int stmt) { return !stmts_[stmt].open; });
 }
@@ -724,12 +732,10 @@
   st.workload = a.workload, st.group = a.group, st.tenant = a.tenant, st.session = a.session;
   st.open = true, st.giveUpAt = a.giveUpAt;
   const Workload& w = terms_.workloads[a.workload];
-  // Danger: a client that repeats has waited before; answered as if it were new it is often late, at others'
-  // cost.
+  // Danger: a client that repeats has waited before; taken for new it is often late, at others' cost.
   st.arrived = a.repeated ? now - w.slo * kRepeatAge : now;
   if (w.level == Level::fresh) st.needs = now;
-  // At the most advanced replica a fresh read is turned away until the log has come; it waits that long
-  // first.
+  // At the most advanced replica a fresh read is turned away until the log has come; it waits for that.
   if (w.level == Level::fresh && terms_.storesCheck) st.notBefore = now + terms_.tick * 4;
   if (w.level == Level::session && terms_.tokensCarried) {
     if (a.sinceWrite && *a.sinceWrite > Span{}) st.needs = now - *a.sinceWrite + terms_.tick;
@@ -739,8 +745,7 @@
   }
   countTenant(st, now);
   GroupState& g = groups_[a.group];
-  double tau = memory_.seconds(), passed = (now - std::max(g.rated, now - memory_ * 10)).seconds();
-  double fade = std::exp(-passed / tau);
+  double tau = memory_.seconds(), fade = std::exp(-((now - g.rated) / memory_));
   g.rated = now;
   g.workRate = g.workRate * fade + least_[a.workload].seconds() / tau;
   g.boundedRate = g.boundedRate * fade + (w.level == Level::bounded ? 1 / tau : 0);
@@ -760,7 +765,7 @@
   learnRole(e.store, r.ending == Ending::miss && w.level == Level::write ? Role::replica : r.role, now,
             false);
   if (r.position && r.role == Role::replica) learnPosition(e.store, *r.position, Span{}, now);
-  learnHealth(e.store, w, r, e.sent, now);
+  learnHealth(e.store, st.workload, r, e.sent, now);
   if (r.ending == Ending::ok) {
     least_[st.workload] = std::min(least_[st.workload] * (1 + kDrift),
                                    r.took * 0.5 + least_[st.workload] * 0.5);
--- a/src/rules.h
+++ b/src/rules.h
@@ -41,7 +41,6 @@
   int fronts = 1;
   int maxExecutions = 1;
   Span tick;
-  TimePoint origin;  // positions count from here
   std::vector<Workload> workloads;
   std::vector<Tenant> tenants;
   double overShareWorth = 1;
@@ -144,7 +143,6 @@
   std::vector<char> inList;
   // lag
   std::vector<TimePoint> position;
-  std::vector<Span> lag;                   // as it was when the position came in
   std::vector<std::vector<char>> drained;  // a flag a workload, as each has its own bound
   std::vector<std::vector<TimePoint>> returned;
   // role
@@ -182,17 +180,19 @@
   }
 };
 
+// What a primary's name rests on: the list alone, a report alone, or its own answers.
+enum class Named { byList, byReport, surely };
+
 struct GroupState {
   std::vector<int> members;
   std::vector<int> waiting;  // statements not out anywhere, oldest first
   int primary = -1;
-  bool primaryListed = false;    // only the list has named it
-  bool primaryReported = false;  // only a report has
+  Named named = Named::byList;
   int turn = 0;
   TimePoint searched = kNever;
   TimePoint primarySince = kNever;
   double workRate = 0;     // offered to this front, in store seconds a second
-  double boundedRate = 0;  // bounded and session reads a second
+  double boundedRate = 0;  // bounded reads a second
   TimePoint rated = kNever;
 };
 
@@ -209,7 +209,7 @@
   // Facts, in the order in which they came in.
   void listBegins(bool whole);
   void entry(const Entry& e, TimePoint now);
-  void listEnds(bool asked, TimePoint now);
+  void listEnds(bool asked);
   void listFailed(TimePoint now);
   void arrived(int stmt, const Arrival& a, TimePoint now);
   void resolved(int stmt, const Result& r, TimePoint now);
@@ -234,21 +234,25 @@
   void learnPosition(int s, TimePoint position, Span known, TimePoint now);
   // primary search
   void learnRole(int s, Role role, TimePoint at, bool byReport);
-  void namePrimary(int g, int s, bool byList, TimePoint now);
+  bool primaryUsable(const GroupState& g, TimePoint now) const;
+  void namePrimary(int g, int s, Named named, TimePoint now);
   int searchTurn(int stmt, TimePoint now);
   // probe timing
+  void probe(int s, Writer& out);
   void probeRound(TimePoint now, Writer& out);
   void learnRefresh(int s, TimePoint position, TimePoint now);
   // health
   bool usable(int s, TimePoint now) const;
   void healed(int s, TimePoint now);
+  void unblock(int s);
   void blockStore(int s, TimePoint now, bool down);
-  void learnHealth(int s, const Workload& w, const Result& r, TimePoint sent, TimePoint now);
+  void learnHealth(int s, int workload, const Result& r, TimePoint sent, TimePoint now);
   // in-flight limit and shedding
   bool room(int s, int stmt, TimePoint now) const;
   void cutLimit(int s, TimePoint sent, TimePoint now);
   Span startTime(int w) const;
   void countTenant(Stmt& st, TimePoint now);
+  bool late(const Stmt& st, TimePoint now) const;
   double standing(const Stmt& st, TimePoint now) const;
   void dispatch(int g, TimePoint now, Writer& out);
   void shed(int g, TimePoint now, Writer& out);
@@ -282,6 +286,7 @@
   TimePoint askAt_ = kNever;
   Span askBackoff_;
   std::vector<TenantState> tenants_;
+  double quotas_ = 0;  // of all tenants
   TimePoint tenantsAt_ = kNever;
   TimePoint wakeAt_ = kNever;
 };
--- a/src/wire/adapter.cpp
+++ b/src/wire/adapter.cpp
@@ -1,7 +1,7 @@
 #include "wire/adapter.h"
 
 #include <algorithm>
-#include <unordered_map>
+#include <utility>
 
 #include "base/index.h"
 
@@ -11,27 +11,25 @@
 constexpr int kSheets = 16;
 constexpr std::int64_t kLongestSleep = 71LL * 60 * 1'000'000;
 
-Level levelOf(const std::string& word) {
-  if (word == "eventual") return Level::any;
-  if (word == "lag_bound") return Level::bounded;
-  if (word == "causal") return Level::session;
-  if (word == "strong") return Level::fresh;
-  if (word == "mutate") return Level::write;
-  throw Malformed("unknown extra.read_level: '" + word + "'");
-}
-
-Effect effectOf(const std::string& word) {
-  if (word == "repeatable") return Effect::idempotent;
-  if (word == "by_key") return Effect::deduplicated;
-  if (word == "once") return Effect::nonIdempotent;
-  throw Malformed("unknown classes[].repeat: '" + word + "'");
-}
-
-Scope scopeOf(const std::string& word) {
-  if (word == "all") return Scope::everywhere;
-  if (word == "zone") return Scope::zone;
-  if (word == "cell") return Scope::group;
-  throw Malformed("unknown classes[].key_scope: '" + word + "'");
+// The wire's words and what they stand for here.
+template <class T>
+using Words = std::vector<std::pair<std::string_view, T>>;
+
+const Words<Level> kLevels = {{"eventual", Level::any},
+                              {"lag_bound", Level::bounded},
+                              {"causal", Level::session},
+                              {"strong", Level::fresh},
+                              {"mutate", Level::write}};
+const Words<Effect> kEffects = {
+    {"repeatable", Effect::idempotent}, {"by_key", Effect::deduplicated}, {"once", Effect::nonIdempotent}};
+const Words<Scope> kScopes = {{"all", Scope::everywhere}, {"zone", Scope::zone}, {"cell", Scope::group}};
+const Words<Listed> kStates = {{"U", Listed::up}, {"L", Listed::draining}, {"D", Listed::gone}};
+
+template <class T>
+T meaning(const Words<T>& words, const std::string& word, const char* what) {
+  for (const auto& [name, value] : words)
+    if (name == word) return value;
+  throw Malformed(std::string("unknown ") + what + ": '" + word + "'");
 }
 
 Ending endingOf(std::int64_t code) {
@@ -59,13 +57,6 @@
   }
 }
 
-int listedOf(const std::string& word) {
-  if (word == "U") return static_cast<int>(Listed::up);
-  if (word == "L") return static_cast<int>(Listed::draining);
-  if (word == "D") return static_cast<int>(Listed::gone);
-  throw Malformed("unknown status: '" + word + "'");
-}
-
 int placeOf(const std::vector<std::string>& names, std::string_view name) {
   auto it = std::find(names.begin(), names.end(), name);
   return it == names.end() ? -1 : static_cast<int>(it - names.begin());
@@ -100,16 +91,10 @@
   void watchList() override { begin("OBSERVE").add(1).end(); }
   void wake(Span after) override { begin("SLEEP").add(1).add(std::min(after.us, kLongestSleep)).end(); }
 
-  void fault(std::string message) {
-    std::replace_if(
-        message.begin(), message.end(), [](char c) { return c == '\t' || c == '\n'; }, ' ');
-    begin("INTERNAL_ERROR").add(message).end();
-  }
-
   void decide(TimePoint now, std::string& reply) {
     reply_ = &reply;
     rules_->decide(now, *this);
-    for (int stmt : closed_) release(stmt);
+    for (int stmt : closed_) stmts.release(stmt);
     closed_.clear();
     reply_ = nullptr;
   }
@@ -134,9 +119,11 @@
     a.queued = true;
     closed_.push_back(stmt);
   }
-  void faulted(std::string& reply, const std::string& message) {
+  void faulted(std::string& reply, std::string message) {
     reply_ = &reply;
-    fault(message);
+    std::replace_if(
+        message.begin(), message.end(), [](char c) { return c == '\t' || c == '\n'; }, ' ');
+    begin("INTERNAL_ERROR").add(message).end();
     reply_ = nullptr;
   }
 
@@ -147,7 +134,6 @@
   Index<std::int64_t> groups;
   std::vector<std::string> workloads, tenants, zones;
   TimePoint origin;
-  std::string pendingFault;
 
  private:
   Terms termsFrom(const Params& p, std::uint64_t seed);
@@ -166,7 +152,6 @@
     return *this;
   }
   void end() { reply_->push_back('\n'); }
-  void release(int stmt) { stmts.release(stmt); }
 
   int number_;
   std::unique_ptr<Rules> rules_;
@@ -178,7 +163,7 @@
 Terms Instance::termsFrom(const Params& p, std::uint64_t seed) {
   Terms t;
   t.seed = seed;
-  origin = t.origin = TimePoint{p.integer("extra.origin_time")};
+  origin = TimePoint{p.integer("extra.origin_time")};
   t.fronts = static_cast<int>(p.integer("siblings", 1));
   t.tick = Span{p.integer("tick")};
   zones = p.list("failure_domains");
@@ -190,12 +175,12 @@
     std::string at = "classes." + std::to_string(k) + ".";
     workloads.push_back(p.need(at + "name"));
     Workload w;
-    w.level = levelOf(levels[k]);
+    w.level = meaning(kLevels, levels[k], "extra.read_level");
     if (k < bounds.size())
       w.bound = Span{static_cast<std::int64_t>(wire::number(bounds[k], "extra.lag_allowed"))};
-    w.effect = effectOf(p.need(at + "repeat"));
+    w.effect = meaning(kEffects, p.need(at + "repeat"), "classes[].repeat");
     if (w.effect == Effect::deduplicated) {
-      w.scope = scopeOf(p.need(at + "key_scope"));
+      w.scope = meaning(kScopes, p.need(at + "key_scope"), "classes[].key_scope");
       w.window = Span{p.integer(at + "repeat_window")};
     }
     w.slo = Span{p.integer(at + "slo")};
@@ -262,11 +247,11 @@
     finish(reply);
     return true;
   }
-  event(reply);
+  event();
   return false;
 }
 
-void Adapter::event(std::string&) {
+void Adapter::event() {
   std::string_view name = line_.name();
   if (name == "JOB_IN") return jobIn();
   if (name == "RESOLVED") return outcome();
@@ -347,7 +332,7 @@
   e.primary = line_.maybeNumber(2, "primary").value_or(0) > 0.5;
   e.zone = line_.raw(3);
   e.group = line_.integer(5, "db", INT32_MIN, INT32_MAX);
-  e.listed = listedOf(line_.text(6, "status"));
+  e.listed = meaning(kStates, line_.text(6, "status"), "status");
   e.weight = line_.maybeNumber(7, "heft").value_or(1);
   e.started = line_.maybeInteger(8, "last_start").value_or(0);
   sheets_[static_cast<std::size_t>(sheetOpen_)].push_back(std::move(e));
@@ -370,13 +355,13 @@
     entry.store = in.stores.add(e.store);
     entry.group = in.groups.add(e.group);
     entry.zone = placeOf(in.zones, e.zone);
-    entry.listed = static_cast<Listed>(e.listed);
+    entry.listed = e.listed;
     entry.primary = e.primary;
     entry.weight = e.weight;
     if (e.started > 0) entry.started = TimePoint{e.started};
     in.rules().entry(entry, now_);
   }
-  in.rules().listEnds(how != "stale_copy", now_);
+  in.rules().listEnds(how != "stale_copy");
 }
 
 void Adapter::jobIn() {
--- a/src/wire/adapter.h
+++ b/src/wire/adapter.h
@@ -3,7 +3,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,14 +26,14 @@
  private:
   struct ListEntry {
     std::string store, zone;
-    int listed = 0;
+    Listed listed = Listed::up;
     bool primary = false;
     std::int64_t group = 0;
     double weight = 1;
     std::int64_t started = 0;
   };
 
-  void event(std::string& reply);
+  void event();
   void listLine();
   Instance& instance();
   void finish(std::string& reply);
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -35,7 +35,7 @@
   void list(int stores, int primary = 0, Listed end = Listed::up) {
     rules.listBegins(true);
     for (int s = 0; s < stores; ++s) listOne(s, s == primary, s + 1 == stores ? end : Listed::up);
-    rules.listEnds(true, clock);
+    rules.listEnds(true);
   }
   void listOne(int s, bool primary, Listed listed, std::optional<TimePoint> started = {}, int zone = 0) {
     rules.entry({s, 0, zone, listed, primary, 1, started}, clock);
