--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -49,6 +49,8 @@
 constexpr double kBlockCap = 8;       // connect time-outs: the longest block
 // In-flight limit.
 constexpr double kFirstLimit = 4;
+constexpr double kTogether = 8;  // executions that all fronts together start with at a store
+constexpr double kAhead = 4;     // usual gaps by which writes may run ahead of a pace below one
 constexpr double kCut = 0.7;
 constexpr double kLagCut = 0.25;     // of the bound: more lag than that cuts the limit too
 constexpr double kSlowAnswer = 0.3;  // of the SLO time: an answer slower than that cuts the limit
@@ -96,6 +98,7 @@
   }
   refresh_ = smallestBound_;
   reportAge_ = smallestBound_ * kSoft;
+  firstLimit_ = std::min(kFirstLimit, kTogether / terms_.fronts);
   memory_ = std::max(terms_.coldRamp * kMemory, smallestSlo_);
   terms_.askEvery = std::max(terms_.askEvery, smallestSlo_);
   askBackoff_ = terms_.askEvery * kAskFirst;
@@ -112,7 +115,7 @@
 
 void Rules::entry(const Entry& e, TimePoint now) {
   Stores& S = stores_;
-  while (static_cast<int>(S.group.size()) <= e.store) S.grow(terms_.workloads.size(), kFirstLimit, now);
+  while (static_cast<int>(S.group.size()) <= e.store) S.grow(terms_.workloads.size(), firstLimit_, now);
   int s = e.store;
   if (S.group[s] != e.group) {
     if (S.group[s] >= 0) std::erase(groups_[S.group[s]].members, s);
@@ -126,7 +129,8 @@
   // Where a vanished store is not bound by the drain rule the list does not prove what is up: health decides.
   if (e.listed != Listed::gone || terms_.goneBinds) S.listed[s] = e.listed;
   if (e.started && *e.started > S.started[s]) {
-    S.started[s] = *e.started, S.goodShare[s] = 1;
+    begins(s, *e.started, now);
+    S.goodShare[s] = 1;
     unblock(s);
   }
   GroupState& g = groups_[e.group];
@@ -452,13 +456,13 @@
 
 void Rules::healed(int s, TimePoint now) {
   // Danger: a process that died and answers again is cold long before the list says that it started.
-  if (stores_.down[s]) stores_.started[s] = std::max(stores_.started[s], now);
+  if (stores_.down[s]) begins(s, now, now);
   unblock(s);
 }
 
 void Rules::unblock(int s) { stores_.down[s] = 0, stores_.blockedUntil[s] = kNever, stores_.block[s] = {}; }
 
-void Rules::learnHealth(int s, int workload, const Result& r, TimePoint sent, TimePoint now) {
+void Rules::learnHealth(int s, int workload, const Result& r, TimePoint sent, bool paced, TimePoint now) {
   Stores& S = stores_;
   Span slo = terms_.workloads[workload].slo, &usual = typical_[workload];
   bool well = r.ending == Ending::ok || r.ending == Ending::miss;
@@ -470,7 +474,7 @@
     usual = usual + (std::min(r.took, slo) - usual) * (kLearn * 0.2);
     if (r.took > slo * kSlowAnswer)
       cutLimit(s, sent, now);
-    else if (S.out[s] + 1 >= S.limit[s] * 0.5)
+    else if (paced && S.out[s] + 1 >= S.limit[s] * 0.5)
       S.limit[s] += std::min(S.limit[s], 1 / S.limit[s]);
   } else if (r.ending == Ending::error) {
     S.goodShare[s] -= kLearn * S.goodShare[s];
@@ -493,10 +497,11 @@
   double share = s == groups_[st.group].primary && !current ? kReadShare
                  : longRead(st.workload)                    ? kLongRoom
                                                             : 1;
-  // Danger: many fronts with one each are too many already. Below one the limit spaces sends out in time.
-  double limit = stores_.limit[s];
-  if (stores_.out[s] >= std::max(1.0, std::floor(limit * share))) return false;
-  if (limit < 1 && now < stores_.freeAt[s]) return false;
+  // Danger: many fronts with one each are too many already. Below one the limit spaces sends out in time, by
+  // the work they bring: some ahead of their time, writes the most, reads at the primary none.
+  double limit = stores_.limit[s], ahead = current ? kAhead : share < 1 ? 0 : 1;
+  if (stores_.out[s] >= std::max(1 + ahead * (limit < 1), std::floor(limit * share))) return false;
+  if (limit < 1 && now + typical_[st.workload] * (ahead / limit) < stores_.freeAt[s]) return false;
   return warmth(s, now) >= 1 || stores_.coldBudget[s] > 0;
 }
 
@@ -704,6 +709,15 @@
   return terms_.coldMultiple * kColdHeadroom * warmth(s, now) * g.workRate / members;
 }
 
+// Danger: hundreds of fronts, each with a budget of less than one statement, would all send their first one
+// at once. Each starts in debt by a random part of one, so that together they send what they have earned.
+void Rules::begins(int s, TimePoint at, TimePoint now) {
+  if (at <= stores_.started[s]) return;
+  stores_.started[s] = at;
+  stores_.coldBudget[s] = -unit(chance_) * std::max_element(least_.begin(), least_.end())->seconds();
+  stores_.coldFilled[s] = now;
+}
+
 void Rules::fillCold(int s, TimePoint now) {
   if (stores_.group[s] < 0 || warmth(s, now) >= 1) return;
   double rate = coldRate(s, now), dt = (now - stores_.coldFilled[s]).seconds();
@@ -714,9 +728,10 @@
 
 void Rules::send(int stmt, int s, TimePoint now, Writer& out) {
   Stmt& st = stmts_[stmt];
-  st.executions.push_back({.store = s, .sent = now, .out = true});
+  bool paced = stores_.limit[s] >= 1 || stores_.freeAt[s] > now;
+  st.executions.push_back({.store = s, .sent = now, .out = true, .paced = paced});
   ++stores_.out[s];
-  stores_.freeAt[s] = now + typical_[st.workload] * (1 / stores_.limit[s]);
+  stores_.freeAt[s] = std::max(now, stores_.freeAt[s]) + typical_[st.workload] * (1 / stores_.limit[s]);
   if (warmth(s, now) < 1) stores_.coldBudget[s] -= least_[st.workload].seconds();
   if (stores_.block[s] > Span{}) stores_.blockedUntil[s] = now + stores_.block[s];  // a trial: one at a time
   out.send(stmt, s, st.giveUpAt);
@@ -765,7 +780,7 @@
   learnRole(e.store, r.ending == Ending::miss && w.level == Level::write ? Role::replica : r.role, now,
             false);
   if (r.position && r.role == Role::replica) learnPosition(e.store, *r.position, Span{}, now);
-  learnHealth(e.store, st.workload, r, e.sent, now);
+  learnHealth(e.store, st.workload, r, e.sent, e.paced, now);
   if (r.ending == Ending::ok) {
     least_[st.workload] = std::min(least_[st.workload] * (1 + kDrift),
                                    r.took * 0.5 + least_[st.workload] * 0.5);
@@ -802,6 +817,8 @@
     double fade = 1 - std::exp(-((now - stores_.faded[s]) / (smallestSlo_ * kForget)));
     stores_.goodShare[s] += fade * (1 - stores_.goodShare[s]);
     stores_.speed[s] += fade * (1 - stores_.speed[s]);
+    double back = std::min(1.0, firstLimit_);
+    if (stores_.limit[s] < back) stores_.limit[s] += fade * (back - stores_.limit[s]);
     stores_.faded[s] = now;
   }
   watchExecutions(now, out);
--- a/src/rules.h
+++ b/src/rules.h
@@ -117,6 +117,7 @@
   bool cancelled = false;
   bool overdue = false;
   bool mayHaveRun = true;
+  bool paced = true;  // sent while the store's limit held sends back
 };
 
 struct Stmt {
@@ -246,7 +247,8 @@
   void healed(int s, TimePoint now);
   void unblock(int s);
   void blockStore(int s, TimePoint now, bool down);
-  void learnHealth(int s, int workload, const Result& r, TimePoint sent, TimePoint now);
+  void learnHealth(int s, int workload, const Result& r, TimePoint sent, bool paced,
+                   TimePoint now);
   // in-flight limit and shedding
   bool room(int s, int stmt, TimePoint now) const;
   void cutLimit(int s, TimePoint sent, TimePoint now);
@@ -266,6 +268,7 @@
   // cold share by age
   double warmth(int s, TimePoint now) const;
   double coldRate(int s, TimePoint now) const;
+  void begins(int s, TimePoint at, TimePoint now);
   void fillCold(int s, TimePoint now);
   void send(int stmt, int s, TimePoint now, Writer& out);
 
@@ -279,7 +282,7 @@
   std::vector<Span> least_;    // and about the least that it takes
   std::unordered_map<std::uint64_t, TimePoint> sessions_;  // last commit of a session
   TimePoint sessionFloor_ = kNever;
-  double furtherBudget_ = 0;
+  double furtherBudget_ = 0, firstLimit_ = 1;
   Span refresh_, reportAge_;  // of reports: their period, and their age when they can first be seen
   Span smallestBound_, smallestSlo_;
   Span memory_;  // how far back rates look
