--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -40,6 +40,8 @@
 constexpr double kSteady = 0.5;   // bounded reads in the smallest bound, from which positions are kept young
 constexpr double kLagging = 1.5;  // times the oldest a healthy replica's report can be
 constexpr double kLikely = 0.6;   // of the period learned: two reports closer than that tell no period
+constexpr double kProbesEarned = 1;  // by each bounded read, and at the most
+constexpr double kProbesCap = 16;
 constexpr double kLead = 0.75;    // measured replicas wanted for each bounded read in flight
 // Health.
 constexpr double kLearn = 0.1;        // weight of one outcome in a running share
@@ -415,9 +417,11 @@
     double flow = g.boundedRate * smallestBound_.seconds();
     double want = unplaced > 0 || flow >= kSteady ? 1 + kLead * (flow + unplaced * kSoft) : 0;
     for (int s : due) {
-      if (stores_.position[s] > kNever && have >= want && !(lost && writes && have < 1)) continue;
+      bool fresh = stores_.position[s] == kNever && firstLimit_ >= 1;
+      if (!fresh && (probeBudget_ < 1 || (have >= want && !(lost && writes && have < 1)))) continue;
       stores_.probeDue[s] = now + refresh_;
       ++have;
+      probeBudget_ -= !fresh;
       probe(s, out);
     }
   }
@@ -764,6 +768,7 @@
   g.rated = now;
   g.workRate = g.workRate * fade + least_[a.workload].seconds() / tau;
   g.boundedRate = g.boundedRate * fade + (w.level == Level::bounded ? 1 / tau : 0);
+  if (w.level == Level::bounded) probeBudget_ = std::min(kProbesCap, probeBudget_ + kProbesEarned);
   furtherBudget_ = std::min(kFurtherCap, furtherBudget_ + kFurther);
   open_.push_back(stmt);
   g.waiting.push_back(stmt);
