--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -436,6 +436,7 @@
   }
   if (stores_.down[s]) healed(s, now);
   if (report.position) {
+    if (now - *report.position < smallestBound_) probeBudget_ = std::min(kProbesCap, probeBudget_ + 1);
     learnRefresh(s, *report.position, now);
     learnPosition(s, *report.position, refresh_ + reportAge_, now);
     if (report.primary) learnRole(s, *report.primary ? Role::primary : Role::replica, *report.position, true);
