--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -258,7 +258,7 @@
   // Short reads that any may answer go there first too: on a replica that lags they would keep it behind.
   bool packed = longRead(st.workload), hosted = w.level == Level::any && !packed && anyLongRead();
   int most = std::max(1, static_cast<int>(static_cast<double>(g.members.size()) * kLongMembers)), rank = 0;
-  int taken = std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
+  int taken = firstLimit_ < 1 ? most : std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
   for (int s : g.members) {
     if (s == g.primary || stores_.listed[s] != Listed::up) continue;
     rank += !stores_.down[s] && stores_.goodShare[s] > kWell;
@@ -270,7 +270,7 @@
     if (!room(s, stmt, now)) continue;
     if (!hosted || rank > most)
       fit.push_back(s);
-    else if (stores_.out[s] < stores_.limit[s] * kHostShare)
+    else if (stores_.limit[s] < 1 ? stores_.freeAt[s] <= now : stores_.out[s] < stores_.limit[s] * kHostShare)
       hosting.push_back(s);
   }
   if (!hosting.empty()) return fewest(hosting, stmt, now);
