--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -52,7 +52,7 @@
 // In-flight limit.
 constexpr double kFirstLimit = 4;
 constexpr double kTogether = 8;  // executions that all fronts together start with at a store
-constexpr double kAhead = 4;     // usual gaps by which writes may run ahead of a pace below one
+constexpr double kAhead = 8;     // usual gaps by which writes may run ahead of a pace below one
 constexpr double kCut = 0.7;
 constexpr double kLagCut = 0.25;     // of the bound: more lag than that cuts the limit too
 constexpr double kSlowAnswer = 0.3;  // of the SLO time: an answer slower than that cuts the limit
@@ -183,18 +183,9 @@
 // Is the replica known to be fresh enough for this statement, if it is sent now?
 bool Rules::measured(int s, const Stmt& st, TimePoint now) const {
   const Workload& w = terms_.workloads[st.workload];
-  switch (w.level) {
-    case Level::any:
-      return true;
-    case Level::bounded:
-      return !stores_.drained[s][st.workload] && now + terms_.tick - stores_.position[s] < w.bound;
-    case Level::session:
-    case Level::fresh:
-      return stores_.position[s] >= st.needs;
-    case Level::write:
-      return false;
-  }
-  return false;
+  if (w.level == Level::bounded)
+    return !stores_.drained[s][st.workload] && now + terms_.tick - stores_.position[s] < w.bound;
+  return w.level == Level::any || (w.level != Level::write && stores_.position[s] >= st.needs);
 }
 
 // Is the replica too far behind for every bounded workload?
@@ -210,8 +201,8 @@
 }
 
 bool Rules::anyLongRead() const {
-  for (std::size_t w = 0; w < terms_.workloads.size(); ++w)
-    if (longRead(static_cast<int>(w))) return true;
+  for (int w = 0; w < static_cast<int>(terms_.workloads.size()); ++w)
+    if (longRead(w)) return true;
   return false;
 }
 
@@ -219,10 +210,8 @@
   const Stmt& st = stmts_[stmt];
   const Workload& w = terms_.workloads[st.workload];
   double weight = stores_.weight[s] * curve(s, w, now) * warmth(s, now);
-  if (w.level == Level::bounded) {
-    double ramp = (now - stores_.returned[s][st.workload]) / (smallestSlo_ * kSlowStart);
-    weight *= std::clamp(ramp, kFloor, 1.0);
-  }
+  double ramp = (now - stores_.returned[s][st.workload]) / (smallestSlo_ * kSlowStart);
+  if (w.level == Level::bounded) weight *= std::clamp(ramp, kFloor, 1.0);
   // Danger: quick errors free slots fast and draw more reads; a slow store answers right but late.
   weight *= stores_.goodShare[s] * stores_.goodShare[s] / std::clamp(stores_.speed[s], 0.5, 10.0);
   for (const Execution& e : st.executions)
@@ -258,7 +247,8 @@
   // Short reads that any may answer go there first too: on a replica that lags they would keep it behind.
   bool packed = longRead(st.workload), hosted = w.level == Level::any && !packed && anyLongRead();
   int most = std::max(1, static_cast<int>(static_cast<double>(g.members.size()) * kLongMembers)), rank = 0;
-  int taken = firstLimit_ < 1 ? most : std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
+  int taken = std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
+  if (firstLimit_ < 1) taken = most;  // danger: many fronts that all fill one host first overrun it
   for (int s : g.members) {
     if (s == g.primary || stores_.listed[s] != Listed::up) continue;
     rank += !stores_.down[s] && stores_.goodShare[s] > kWell;
@@ -309,10 +299,7 @@
 }
 
 void Rules::namePrimary(int g, int s, Named named, TimePoint now) {
-  GroupState& group = groups_[g];
-  group.primary = s;
-  group.named = named;
-  group.primarySince = now;
+  groups_[g].primary = s, groups_[g].named = named, groups_[g].primarySince = now;
 }
 
 // `at`: when the store was seen in that role. Answers are of now, reports of the position that they carry.
@@ -539,9 +526,8 @@
     double fill = terms_.tenants[k].quota * part;
     tenants_[k].tokens = std::min(tenants_[k].tokens + fill * passed, std::max(1.0, fill * tau));
   }
-  double& tokens = tenants_[st.tenant].tokens;
-  st.overShare = tokens < 1;
-  if (!st.overShare) tokens -= 1;
+  st.overShare = tenants_[st.tenant].tokens < 1;
+  if (!st.overShare) tenants_[st.tenant].tokens -= 1;
 }
 
 bool Rules::late(const Stmt& st, TimePoint now) const {
@@ -600,15 +586,10 @@
   if (!st.open) return;
   for (std::size_t k = 0; k < st.executions.size(); ++k)
     if (st.executions[k].out && terms_.mayCancel) out.cancel(stmt, static_cast<int>(k));
-  if (harmless(st)) {
-    Span back = terms_.namesComeBack
-                    ? std::min(terms_.maxComeBack, terms_.workloads[st.workload].slo * kComeBack)
-                    : Span{};
-    out.reject(stmt, back);
-  } else {
-    out.abort(stmt);
-  }
   st.open = false;
+  if (!harmless(st)) return out.abort(stmt);
+  Span back = terms_.workloads[st.workload].slo * kComeBack;
+  out.reject(stmt, terms_.namesComeBack ? std::min(terms_.maxComeBack, back) : Span{});
 }
 
 // ---- 5. time-outs and further executions ----
@@ -621,8 +602,8 @@
 bool Rules::harmless(const Stmt& st) const {
   const Workload& w = terms_.workloads[st.workload];
   if (w.effect == Effect::idempotent) return true;
-  bool ran = std::any_of(st.executions.begin(), st.executions.end(),
-                         [](const Execution& e) { return e.mayHaveRun; });
+  auto mayHave = [](const Execution& e) { return e.mayHaveRun; };
+  bool ran = std::any_of(st.executions.begin(), st.executions.end(), mayHave);
   return !ran || (w.effect == Effect::deduplicated && w.scope == Scope::everywhere);
 }
 
@@ -814,10 +795,7 @@
 void Rules::woken() { wakeAt_ = kNever; }
 
 void Rules::decide(TimePoint now, Writer& out) {
-  if (terms_.mustAsk && askAt_ > kNever && askAt_ <= now) {
-    askAt_ = kNever;
-    out.watchList();
-  }
+  if (terms_.mustAsk && askAt_ > kNever && askAt_ <= now) askAt_ = kNever, out.watchList();
   for (std::size_t s = 0; s < stores_.group.size(); ++s) {
     fillCold(static_cast<int>(s), now);
     double fade = 1 - std::exp(-((now - stores_.faded[s]) / (smallestSlo_ * kForget)));
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -333,6 +333,42 @@
   b.pass(5);
 }
 
+void coldDebt() {
+  int sent = 0;
+  for (int front = 0; front < 60; ++front) {
+    Terms t = Bench::terms({kAny});
+    t.fronts = 60, t.seed = static_cast<std::uint64_t>(front);
+    Bench b(t);
+    b.quiet = true;
+    for (int s = 0; s < 2; ++s) b.listOne(s, s == 0, Listed::up);
+    b.round();
+    for (int s = 0; s < 2; ++s) b.listOne(s, s == 0, Listed::up, b.clock);
+    for (int k = 0; k < 2; ++k) b.arrive(0), b.pass(200);
+    sent += b.last >= 0;
+  }
+  std::printf("-- danger: sixty fronts, two statements each, at two stores that have just started\n");
+  std::printf("fronts that sent one: %d of 60\n", sent);
+}
+
+void probesEarned() {
+  for (bool lag : {false, true}) {
+    Terms t = Bench::terms({kBounded});
+    t.fronts = 100;
+    Bench b(t);
+    b.quiet = true;
+    b.list(6);
+    int probes = 0;
+    for (int k = 0; k < 200; ++k) {
+      if (k % 20 == 0) b.arrive(0, 300);
+      b.probed = -1, b.last = -1;
+      b.pass(50);
+      if (b.probed >= 0) ++probes, b.report(b.probed, lag ? 5000 : 20, b.probed == 0);
+      if (b.last >= 0) b.answer(b.lastStmt, Ending::ok);
+    }
+    std::printf("%s: %d probes for 10 reads\n", lag ? "all lag" : "all fresh", probes);
+  }
+}
+
 void askedList() {
   Terms t = Bench::terms({kAny});
   t.mustAsk = true;
@@ -365,6 +401,8 @@
     {"askedList", askedList},
     {"untrueReport", untrueReport},
     {"deadStore", deadStore},
+    {"coldDebt", coldDebt},
+    {"probesEarned", probesEarned},
     {"repeats", repeats},
     {"standing", standing},
     {"manyFronts", manyFronts},
