--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -418,7 +418,7 @@
   stores_.probing[s] = 0;
   if (!ok) {
     stores_.probeDue[s] = now + smallestBound_ * kSlowestPace;
-    if (stores_.down[s]) blockStore(s, now, true);
+    if (stores_.down[s]) stores_.dead[s] = 1, blockStore(s, now, true);
     return;
   }
   if (stores_.down[s]) healed(s, now);
@@ -447,12 +447,16 @@
 }
 
 void Rules::healed(int s, TimePoint now) {
-  // Danger: a process that died and answers again is cold long before the list says that it started.
-  if (stores_.down[s]) begins(s, now, now);
+  // Danger: a process that died and answers again is cold long before the list says that it started. One
+  // that refused a connection but answered every probe had no room for one: it was never away.
+  if (stores_.dead[s] || (stores_.down[s] && !terms_.mayProbe)) begins(s, now, now);
+  if (stores_.down[s] && !stores_.dead[s]) crowdedAt_ = now;
   unblock(s);
 }
 
-void Rules::unblock(int s) { stores_.down[s] = 0, stores_.blockedUntil[s] = kNever, stores_.block[s] = {}; }
+void Rules::unblock(int s) {
+  stores_.down[s] = stores_.dead[s] = 0, stores_.blockedUntil[s] = kNever, stores_.block[s] = {};
+}
 
 void Rules::learnHealth(int s, int workload, const Result& r, TimePoint sent, bool paced, TimePoint now) {
   Stores& S = stores_;
@@ -474,6 +478,7 @@
     cutLimit(s, sent, now);
     if (S.out[s] == 0) blockStore(s, now, false);
   } else if (r.ending == Ending::connectFailed || r.ending == Ending::reset) {
+    S.dead[s] |= r.ending == Ending::reset;
     if (sent >= S.blockedAt[s]) blockStore(s, now, true);  // what was sent before the block tells nothing new
   }
 }
@@ -760,7 +765,7 @@
   Stmt& st = stmts_[stmt];
   Execution& e = st.executions[r.execution];
   const Workload& w = terms_.workloads[st.workload];
-  if (e.out) --stores_.out[e.store];
+  if (e.out) --stores_.out[e.store], used_.push_back(e.store);
   e.out = false;
   e.mayHaveRun = !(r.ending == Ending::full || r.ending == Ending::connectFailed ||
                    r.ending == Ending::moot || r.ending == Ending::miss);
@@ -805,6 +810,11 @@
     if (stores_.limit[s] < back) stores_.limit[s] += fade * (back - stores_.limit[s]);
     stores_.faded[s] = now;
   }
+  // Danger: idle connections of hundreds of fronts fill the tables of stores that accept few.
+  if (now - crowdedAt_ < memory_)
+    for (int s : used_)
+      if (stores_.out[s] == 0) out.release(s);
+  used_.clear();
   watchExecutions(now, out);
   probeRound(now, out);  // before reads are placed: they may await the answer
   for (std::size_t g = 0; g < groups_.size(); ++g) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -106,6 +106,7 @@
   virtual void reject(int stmt, Span comeBack) = 0;
   virtual void abort(int stmt) = 0;
   virtual void probe(int store) = 0;
+  virtual void release(int store) = 0;  // its idle connections
   virtual void watchList() = 0;
   virtual void wake(Span after) = 0;
 };
@@ -158,7 +159,7 @@
   std::vector<double> goodShare, speed;
   std::vector<TimePoint> heard, faded, blockedUntil, blockedAt;
   std::vector<Span> block;
-  std::vector<char> down;
+  std::vector<char> down, dead;  // refused a connection; and a probe found it away
   // load
   std::vector<int> out;
   std::vector<TimePoint> freeAt;  // where the limit is below one: when it may be sent the next
@@ -172,7 +173,7 @@
     for (auto* never : {&started, &position, &primaryAt, &replicaAt, &reported, &probedAt, &renewal,
                         &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt})
       never->push_back(kNever);
-    for (auto* flag : {&inList, &probing, &down}) flag->push_back(0);
+    for (auto* flag : {&inList, &probing, &down, &dead}) flag->push_back(0);
     group.push_back(-1), zone.push_back(-1), listed.push_back(Listed::up), weight.push_back(1);
     drained.emplace_back(workloads, 1), returned.emplace_back(workloads, kNever),
         role.push_back(Role::unknown);
@@ -286,6 +287,8 @@
   Span refresh_, reportAge_;  // of reports: their period, and their age when they can first be seen
   Span smallestBound_, smallestSlo_;
   Span memory_;  // how far back rates look
+  TimePoint crowdedAt_ = kNever;  // last seen that a store has no room for connections
+  std::vector<int> used_;         // stores that answered in this round
   TimePoint askAt_ = kNever;
   Span askBackoff_;
   std::vector<TenantState> tenants_;
--- a/src/wire/adapter.cpp
+++ b/src/wire/adapter.cpp
@@ -88,6 +88,7 @@
     close(stmt);
   }
   void probe(int store) override { begin("POLL").add(stores.id(store)).end(); }
+  void release(int store) override { begin("RELEASE").add(stores.id(store)).end(); }
   void watchList() override { begin("OBSERVE").add(1).end(); }
   void wake(Span after) override { begin("SLEEP").add(1).add(std::min(after.us, kLongestSleep)).end(); }
 
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -100,6 +100,7 @@
     probed = store;
     if (probes) say("probe %d", store);
   }
+  void release(int store) override { say("release idle connections to %d", store); }
   void watchList() override { say("watch the list"); }
   void wake(Span) override {}
 
