--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -496,8 +496,8 @@
                                                             : 1;
   // Danger: many fronts with one each are too many already. Below one the limit spaces sends out in time, by
   // the work they bring: some ahead of their time, writes the most, reads at the primary none.
-  double limit = stores_.limit[s], ahead = current ? kAhead : share < 1 ? 0 : 1;
-  if (stores_.out[s] >= std::max(1 + ahead * (limit < 1), std::floor(limit * share))) return false;
+  double limit = stores_.limit[s], ahead = current ? kAhead : share < 1 ? -1 : 1;
+  if (stores_.out[s] >= std::max(1 + (limit < 1 ? std::max(0.0, ahead) : 0), std::floor(limit * share))) return false;
   if (limit < 1 && now + typical_[st.workload] * (ahead / limit) < stores_.freeAt[s]) return false;
   return warmth(s, now) >= 1 || stores_.coldBudget[s] > 0;
 }
