--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -53,6 +53,7 @@
 constexpr double kFirstLimit = 4;
 constexpr double kTogether = 8;  // executions that all fronts together start with at a store
 constexpr double kAhead = 8;     // usual gaps by which writes may run ahead of a pace below one
+constexpr double kGrow = 0.3;    // of itself, by which a limit below one grows
 constexpr double kCut = 0.7;
 constexpr double kLagCut = 0.25;     // of the bound: more lag than that cuts the limit too
 constexpr double kSlowAnswer = 0.3;  // of the SLO time: an answer slower than that cuts the limit
@@ -471,7 +472,7 @@
     if (r.took > slo * kSlowAnswer)
       cutLimit(s, sent, now);
     else if (paced && S.out[s] + 1 >= S.limit[s] * 0.5)
-      S.limit[s] += std::min(S.limit[s], 1 / S.limit[s]);
+      S.limit[s] += std::min(S.limit[s] * kGrow, 1 / S.limit[s]);
   } else if (r.ending == Ending::error) {
     S.goodShare[s] -= kLearn * S.goodShare[s];
   } else if (r.ending == Ending::full) {
