--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -391,6 +391,8 @@
       // One looked at in vain just now counts too: when all stand at one commit, one look is enough.
       bool looked = now - stores_.probedAt[s] < smallestBound_ * kFirstPace;
       have += stores_.probing[s] || (s != g.primary && (young || looked));
+      // A replica that checks reads itself needs no look before one is sent there.
+      have += terms_.storesCheck && s != g.primary && usable(s, now) && !boundedDrained(s);
       if (stores_.probing[s] || stores_.listed[s] != Listed::up) continue;
       if (stores_.down[s] && stores_.blockedUntil[s] <= now) probe(s, out);
       if (stores_.down[s] || now < stores_.probeDue[s]) continue;
