--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -276,12 +276,16 @@
   const Stmt& st = stmts_[stmt];
   const Workload& w = terms_.workloads[st.workload];
   GroupState& g = groups_[st.group];
-  if (terms_.storesCheck && w.level != Level::write && w.level != Level::any && st.tries == 0) {
+  bool bounded = w.level == Level::bounded;
+  if (terms_.storesCheck && w.level != Level::write && w.level != Level::any && st.tries < 1 + bounded) {
     int best = -1;
     for (int s : g.members) {
-      if (s == g.primary || boundedDrained(s) || !usable(s, now) || !room(s, stmt, now)) continue;
+      // Danger: probes may fail where statements don't. A drained replica that is due a look gets a read.
+      bool shut = boundedDrained(s) && !(bounded && stores_.probeDue[s] <= now);
+      if (s == g.primary || shut || !usable(s, now) || !room(s, stmt, now)) continue;
       if (best < 0 || stores_.position[s] > stores_.position[best]) best = s;
     }
+    if (best >= 0 && boundedDrained(best)) stores_.probeDue[best] = now + smallestBound_ * kSlowestPace;
     if (best >= 0) return best;
   }
   // Danger: a report may be untrue. Until the store itself has answered as primary it gets writes, which a
@@ -382,7 +386,7 @@
     double unplaced = 0, have = 0;
     for (int stmt : g.waiting) {
       Level level = terms_.workloads[stmts_[stmt].workload].level;
-      unplaced += level == Level::bounded;
+      unplaced += level == Level::bounded && !terms_.storesCheck;  // there a read itself is the look
       writes |= level == Level::write || level == Level::fresh;
     }
     std::vector<int> due;
@@ -391,8 +395,6 @@
       // One looked at in vain just now counts too: when all stand at one commit, one look is enough.
       bool looked = now - stores_.probedAt[s] < smallestBound_ * kFirstPace;
       have += stores_.probing[s] || (s != g.primary && (young || looked));
-      // A replica that checks reads itself needs no look before one is sent there.
-      have += terms_.storesCheck && s != g.primary && usable(s, now) && !boundedDrained(s);
       if (stores_.probing[s] || stores_.listed[s] != Listed::up) continue;
       if (stores_.down[s] && stores_.blockedUntil[s] <= now) probe(s, out);
       if (stores_.down[s] || now < stores_.probeDue[s]) continue;
@@ -774,7 +776,10 @@
                    r.ending == Ending::moot || r.ending == Ending::miss);
   learnRole(e.store, r.ending == Ending::miss && w.level == Level::write ? Role::replica : r.role, now,
             false);
-  if (r.position && r.role == Role::replica) learnPosition(e.store, *r.position, Span{}, now);
+  if (r.position && r.role == Role::replica) {
+    learnPosition(e.store, *r.position, Span{}, now);
+    stores_.probeDue[e.store] = now + std::min((now - *r.position) * kLagPace, smallestBound_ * kSlowestPace);
+  }
   learnHealth(e.store, st.workload, r, e.sent, e.paced, now);
   if (r.ending == Ending::ok) {
     least_[st.workload] = std::min(least_[st.workload] * (1 + kDrift),
