--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -178,14 +178,15 @@
 double Rules::curve(int s, const Workload& w, TimePoint now) const {
   Span lag = now - stores_.position[s], soft = w.bound * kSoft;
   if (w.level != Level::bounded || lag <= soft) return 1;
-  return lag >= w.bound ? 0 : 1 - (1 - kFloor) * ((lag - soft) / (w.bound - soft));
+  return lag >= w.bound ? kFloor * terms_.storesCheck : 1 - (1 - kFloor) * ((lag - soft) / (w.bound - soft));
 }
 
 // Is the replica known to be fresh enough for this statement, if it is sent now?
 bool Rules::measured(int s, const Stmt& st, TimePoint now) const {
   const Workload& w = terms_.workloads[st.workload];
   if (w.level == Level::bounded)
-    return !stores_.drained[s][st.workload] && now + terms_.tick - stores_.position[s] < w.bound;
+    return !stores_.drained[s][st.workload] &&  // a store that checks reads itself may be of unknown age
+           (terms_.storesCheck || now + terms_.tick - stores_.position[s] < w.bound);
   return w.level == Level::any || (w.level != Level::write && stores_.position[s] >= st.needs);
 }
 
@@ -395,6 +396,7 @@
       // One looked at in vain just now counts too: when all stand at one commit, one look is enough.
       bool looked = now - stores_.probedAt[s] < smallestBound_ * kFirstPace;
       have += stores_.probing[s] || (s != g.primary && (young || looked));
+      have += terms_.storesCheck && s != g.primary && usable(s, now) && !boundedDrained(s);
       if (stores_.probing[s] || stores_.listed[s] != Listed::up) continue;
       if (stores_.down[s] && stores_.blockedUntil[s] <= now) probe(s, out);
       if (stores_.down[s] || now < stores_.probeDue[s]) continue;
