--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -409,7 +409,7 @@
              std::pair(boundedDrained(b), stores_.probeDue[b]);
     });
     double flow = g.boundedRate * smallestBound_.seconds();
-    double want = unplaced > 0 || flow >= kSteady ? 1 + kLead * (flow + unplaced * kSoft) : 0;
+    double want = !terms_.storesCheck && (unplaced > 0 || flow >= kSteady) ? 1 + kLead * (flow + unplaced * kSoft) : 0;
     for (int s : due) {
       bool fresh = stores_.position[s] == kNever && firstLimit_ >= 1;
       if (!fresh && (probeBudget_ < 1 || (have >= want && !(lost && writes && have < 1)))) continue;
