--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -40,7 +40,8 @@
 constexpr double kSteady = 0.5;   // bounded reads in the smallest bound, from which positions are kept young
 constexpr double kLagging = 1.5;  // times the oldest a healthy replica's report can be
 constexpr double kLikely = 0.6;   // of the period learned: two reports closer than that tell no period
-constexpr double kProbesEarned = 1;  // by each bounded read, and at the most
+constexpr double kProbeSpend = 0.03;  // of a statement's worth: probes earned by each bounded read
+constexpr double kProbesMost = 4;     // a read, and in store
 constexpr double kProbesCap = 16;
 constexpr double kLead = 0.75;    // measured replicas wanted for each bounded read in flight
 // Health.
@@ -101,6 +102,7 @@
   }
   refresh_ = smallestBound_;
   reportAge_ = smallestBound_ * kSoft;
+  probesEarned_ = std::min(kProbesMost, kProbeSpend / std::max(terms_.probePrice, 1e-9));
   firstLimit_ = std::min(kFirstLimit, kTogether / terms_.fronts);
   memory_ = std::max(terms_.coldRamp * kMemory, smallestSlo_);
   terms_.askEvery = std::max(terms_.askEvery, smallestSlo_);
@@ -123,19 +125,14 @@
   if (S.group[s] != e.group) {
     if (S.group[s] >= 0) std::erase(groups_[S.group[s]].members, s);
     if (static_cast<int>(groups_.size()) <= e.group) groups_.resize(e.group + 1);
-    groups_[e.group].members.push_back(s);
-    S.group[s] = e.group;
+    groups_[e.group].members.push_back(s), S.group[s] = e.group;
   }
   S.zone[s] = e.zone;
   S.weight[s] = e.weight > 0 ? e.weight : 1;
   S.inList[s] = 1;
   // Where a vanished store is not bound by the drain rule the list does not prove what is up: health decides.
   if (e.listed != Listed::gone || terms_.goneBinds) S.listed[s] = e.listed;
-  if (e.started && *e.started > S.started[s]) {
-    begins(s, *e.started, now);
-    S.goodShare[s] = 1;
-    unblock(s);
-  }
+  if (e.started && *e.started > S.started[s]) begins(s, *e.started, now), S.goodShare[s] = 1, unblock(s);
   GroupState& g = groups_[e.group];
   if (e.primary && e.listed == Listed::up && S.role[s] == Role::unknown && g.primary != s &&
       (g.primary < 0 || (terms_.roleFollows && (g.named == Named::byList || !usable(g.primary, now)))))
@@ -169,8 +166,7 @@
     if (lag >= row.bound) {
       stores_.drained[s][w] = 1;
     } else if (stores_.drained[s][w] && lag < row.bound * kReentry) {
-      stores_.drained[s][w] = 0;
-      stores_.returned[s][w] = now;
+      stores_.drained[s][w] = 0, stores_.returned[s][w] = now;
     }
   }
 }
@@ -314,8 +310,7 @@
   GroupState& g = groups_[stores_.group[s]];
   if (role == Role::primary) {
     if (at <= stores_.primaryAt[s] || at <= stores_.replicaAt[s]) return;
-    stores_.primaryAt[s] = at;
-    stores_.role[s] = role;
+    stores_.primaryAt[s] = at, stores_.role[s] = role;
     // Danger: two stores claim the role; the one seen in it last has it.
     if (g.primary != s && (g.primary < 0 || stores_.primaryAt[g.primary] < at))
       namePrimary(stores_.group[s], s, byReport ? Named::byReport : Named::surely, at);
@@ -340,8 +335,7 @@
     if (!usable(s, now) || !room(s, stmt, now)) continue;
     // A member that has just answered as a replica is none yet.
     if (now - stores_.replicaAt[s] < terms_.workloads[st.workload].slo * kSearchAgain) continue;
-    g.turn = (g.turn + k + 1) % members;
-    g.searched = now;
+    g.turn = (g.turn + k + 1) % members, g.searched = now;
     return s;
   }
   return -1;
@@ -375,11 +369,6 @@
   stores_.probeDue[s] = std::max(now + pace, stores_.renewal[s]);
 }
 
-void Rules::probe(int s, Writer& out) {
-  stores_.probing[s] = 1;
-  out.probe(s);
-}
-
 void Rules::probeRound(TimePoint now, Writer& out) {
   if (!terms_.mayProbe) return;
   for (GroupState& g : groups_) {
@@ -398,7 +387,7 @@
       have += stores_.probing[s] || (s != g.primary && (young || looked));
       have += terms_.storesCheck && s != g.primary && usable(s, now) && !boundedDrained(s);
       if (stores_.probing[s] || stores_.listed[s] != Listed::up) continue;
-      if (stores_.down[s] && stores_.blockedUntil[s] <= now) probe(s, out);
+      if (stores_.down[s] && stores_.blockedUntil[s] <= now) stores_.probing[s] = 1, out.probe(s);
       if (stores_.down[s] || now < stores_.probeDue[s]) continue;
       if (stores_.position[s] == kNever || (!young && s != g.primary && usable(s, now)) || (lost && writes))
         due.push_back(s);
@@ -409,14 +398,15 @@
              std::pair(boundedDrained(b), stores_.probeDue[b]);
     });
     double flow = g.boundedRate * smallestBound_.seconds();
-    double want = !terms_.storesCheck && (unplaced > 0 || flow >= kSteady) ? 1 + kLead * (flow + unplaced * kSoft) : 0;
+    bool wanted = !terms_.storesCheck && (unplaced > 0 || flow >= kSteady);
+    double want = wanted ? 1 + kLead * (flow + unplaced * kSoft) : 0;
     for (int s : due) {
       bool fresh = stores_.position[s] == kNever && firstLimit_ >= 1;
       if (!fresh && (probeBudget_ < 1 || (have >= want && !(lost && writes && have < 1)))) continue;
       stores_.probeDue[s] = now + refresh_;
       ++have;
       probeBudget_ -= !fresh;
-      probe(s, out);
+      stores_.probing[s] = 1, out.probe(s);
     }
   }
 }
@@ -448,8 +438,7 @@
 void Rules::blockStore(int s, TimePoint now, bool down) {
   Span first = terms_.connectTimeout;
   stores_.block[s] = stores_.block[s] > Span{} ? std::min(stores_.block[s] * 2, first * kBlockCap) : first;
-  stores_.blockedUntil[s] = now + stores_.block[s];
-  stores_.blockedAt[s] = now;
+  stores_.blockedUntil[s] = now + stores_.block[s], stores_.blockedAt[s] = now;
   stores_.down[s] |= down;
 }
 
@@ -504,7 +493,8 @@
   // Danger: many fronts with one each are too many already. Below one the limit spaces sends out in time, by
   // the work they bring: some ahead of their time, writes the most, reads at the primary none.
   double limit = stores_.limit[s], ahead = current ? kAhead : share < 1 ? -1 : 1;
-  if (stores_.out[s] >= std::max(1 + (limit < 1 ? std::max(0.0, ahead) : 0), std::floor(limit * share))) return false;
+  double least = limit < 1 && current ? kAhead : 1;
+  if (stores_.out[s] >= std::max(least, std::floor(limit * share))) return false;
   if (limit < 1 && now + typical_[st.workload] * (ahead / limit) < stores_.freeAt[s]) return false;
   return warmth(s, now) >= 1 || stores_.coldBudget[s] > 0;
 }
@@ -555,8 +545,8 @@
 void Rules::dispatch(int g, TimePoint now, Writer& out) {
   std::vector<int>& waiting = groups_[g].waiting;
   std::erase_if(waiting, [&](int stmt) { return !stmts_[stmt].open || isOut(stmts_[stmt]); });
-  std::stable_sort(waiting.begin(), waiting.end(),
-                   [&](int a, int b) { return standing(stmts_[a], now) > standing(stmts_[b], now); });
+  auto first = [&](int a, int b) { return standing(stmts_[a], now) > standing(stmts_[b], now); };
+  std::stable_sort(waiting.begin(), waiting.end(), first);
   std::vector<char> stuck(terms_.workloads.size(), 0);
   std::vector<int> left;
   for (int stmt : waiting) {
@@ -568,10 +558,8 @@
       if (s >= 0 && !mayRunAgain(st, s, now)) s = -1;
       if (s < 0 && level == Level::bounded) stuck[st.workload] = 1;
     }
-    if (s >= 0)
-      send(stmt, s, now, out);
-    else
-      left.push_back(stmt);
+    if (s >= 0) send(stmt, s, now, out);
+    if (s < 0) left.push_back(stmt);
   }
   waiting = std::move(left);
 }
@@ -583,7 +571,7 @@
     const Stmt& st = stmts_[stmt];
     const Workload& w = terms_.workloads[st.workload];
     bool lost = w.level != Level::any && !primaryUsable(group, now);
-    bool hopeless = now + startTime(st.workload) > st.giveUpAt;
+    bool hopeless = now + startTime(st.workload) > st.giveUpAt || !mayRunAgain(st, -1, now);
     // Past its SLO time it waits for a primary, or for room if it is still worth much; but it leaves its
     // client time to try again.
     bool worth = w.lateShare >= kWorthWaiting || (lost && w.lateShare > 0);
@@ -614,8 +602,8 @@
 bool Rules::harmless(const Stmt& st) const {
   const Workload& w = terms_.workloads[st.workload];
   if (w.effect == Effect::idempotent) return true;
-  auto mayHave = [](const Execution& e) { return e.mayHaveRun; };
-  bool ran = std::any_of(st.executions.begin(), st.executions.end(), mayHave);
+  bool ran = false;
+  for (const Execution& e : st.executions) ran |= e.mayHaveRun;
   return !ran || (w.effect == Effect::deduplicated && w.scope == Scope::everywhere);
 }
 
@@ -699,14 +687,6 @@
   return terms_.coldFrom + (1 - terms_.coldFrom) * age;
 }
 
-// What this front may send to a cold store, in store seconds a second. Danger: fronts don't see one another,
-// so each keeps to its own part, measured by what it sends to a member of that group on average.
-double Rules::coldRate(int s, TimePoint now) const {
-  const GroupState& g = groups_[stores_.group[s]];
-  double members = std::max<double>(1, static_cast<double>(g.members.size()));
-  return terms_.coldMultiple * kColdHeadroom * warmth(s, now) * g.workRate / members;
-}
-
 // Danger: hundreds of fronts, each with a budget of less than one statement, would all send their first one
 // at once. Each starts in debt by a random part of one, so that together they send what they have earned.
 void Rules::begins(int s, TimePoint at, TimePoint now) {
@@ -716,10 +696,14 @@
   stores_.coldFilled[s] = now;
 }
 
+// What this front may send to a cold store, in store seconds. Danger: fronts don't see one another, so each
+// keeps to its own part, measured by what it sends to a member of that group on average.
 void Rules::fillCold(int s, TimePoint now) {
   if (stores_.group[s] < 0 || warmth(s, now) >= 1) return;
-  double rate = coldRate(s, now), dt = (now - stores_.coldFilled[s]).seconds();
-  stores_.coldBudget[s] = std::min(stores_.coldBudget[s] + rate * dt,
+  const GroupState& g = groups_[stores_.group[s]];
+  double members = std::max<double>(1, static_cast<double>(g.members.size()));
+  double rate = terms_.coldMultiple * kColdHeadroom * warmth(s, now) * g.workRate / members;
+  stores_.coldBudget[s] = std::min(stores_.coldBudget[s] + rate * (now - stores_.coldFilled[s]).seconds(),
                                    rate * terms_.coldWindow.seconds() * kColdBurst);
   stores_.coldFilled[s] = now;
 }
@@ -762,7 +746,8 @@
   g.rated = now;
   g.workRate = g.workRate * fade + least_[a.workload].seconds() / tau;
   g.boundedRate = g.boundedRate * fade + (w.level == Level::bounded ? 1 / tau : 0);
-  if (w.level == Level::bounded) probeBudget_ = std::min(kProbesCap, probeBudget_ + kProbesEarned);
+  if (w.level == Level::bounded && !a.repeated)
+    probeBudget_ = std::min(kProbesCap, probeBudget_ + probesEarned_);
   furtherBudget_ = std::min(kFurtherCap, furtherBudget_ + kFurther);
   open_.push_back(stmt);
   g.waiting.push_back(stmt);
@@ -828,18 +813,12 @@
   watchExecutions(now, out);
   probeRound(now, out);  // before reads are placed: they may await the answer
   for (std::size_t g = 0; g < groups_.size(); ++g) {
-    std::vector<int>& waiting = groups_[g].waiting;
-    for (int stmt : waiting)
-      if (stmts_[stmt].open && !isOut(stmts_[stmt]) && !mayRunAgain(stmts_[stmt], -1, now)) giveUp(stmt, out);
     dispatch(static_cast<int>(g), now, out);
     shed(static_cast<int>(g), now, out);
   }
   std::erase_if(open_, [&](int stmt) { return !stmts_[stmt].open; });
-  if (wakeAt_ <= now) {
-    Span pace = terms_.tick * (open_.empty() ? 8 : 2);
-    wakeAt_ = now + pace;
-    out.wake(pace);
-  }
+  Span pace = terms_.tick * (open_.empty() ? 8 : 2);
+  if (wakeAt_ <= now) wakeAt_ = now + pace, out.wake(pace);
 }
 
 }  // namespace reedchute
--- a/src/rules.h
+++ b/src/rules.h
@@ -47,6 +47,7 @@
   bool secondCopies = false;
   bool mayCancel = false;
   bool mayProbe = false;
+  double probePrice = 0;      // as a share of a statement's worth
   bool mustAsk = false;       // the list comes only when asked for
   bool goneBinds = true;      // a store that vanished from the list counts as drained
   bool roleFollows = false;   // the list's role is kept up to date
@@ -240,7 +241,6 @@
   void namePrimary(int g, int s, Named named, TimePoint now);
   int searchTurn(int stmt, TimePoint now);
   // probe timing
-  void probe(int s, Writer& out);
   void probeRound(TimePoint now, Writer& out);
   void learnRefresh(int s, TimePoint position, TimePoint now);
   // health
@@ -268,7 +268,6 @@
   void watchExecutions(TimePoint now, Writer& out);
   // cold share by age
   double warmth(int s, TimePoint now) const;
-  double coldRate(int s, TimePoint now) const;
   void begins(int s, TimePoint at, TimePoint now);
   void fillCold(int s, TimePoint now);
   void send(int stmt, int s, TimePoint now, Writer& out);
@@ -283,7 +282,7 @@
   std::vector<Span> least_;    // and about the least that it takes
   std::unordered_map<std::uint64_t, TimePoint> sessions_;  // last commit of a session
   TimePoint sessionFloor_ = kNever;
-  double probeBudget_ = 0, furtherBudget_ = 0, firstLimit_ = 1;
+  double probeBudget_ = 0, probesEarned_ = 0, furtherBudget_ = 0, firstLimit_ = 1;
   Span refresh_, reportAge_;  // of reports: their period, and their age when they can first be seen
   Span smallestBound_, smallestSlo_;
   Span memory_;  // how far back rates look
--- a/src/wire/adapter.cpp
+++ b/src/wire/adapter.cpp
@@ -199,6 +199,7 @@
   t.secondCopies = p.boolean("limits.parallel_tries", false);
   t.mayCancel = p.boolean("limits.may_cancel", false);
   t.mayProbe = p.boolean("limits.probes", false);
+  t.probePrice = p.number("prices.probe", 0);
   t.mustAsk = p.need("membership_mode") == "subscribe";
   t.goneBinds = !p.boolean("obligations.dropped_stay_open", false);
   t.roleFollows = p.find("extra.role_in_list") && *p.find("extra.role_in_list") == "trailing";
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -353,7 +353,7 @@
 void probesEarned() {
   for (bool lag : {false, true}) {
     Terms t = Bench::terms({kBounded});
-    t.fronts = 100;
+    t.fronts = 100, t.probePrice = 0.03;
     Bench b(t);
     b.quiet = true;
     b.list(6);
@@ -369,6 +369,38 @@
   }
 }
 
+void fullTable() {
+  Bench b(Bench::terms({kAny}));
+  b.list(2);
+  b.arrive(0);
+  b.round();
+  b.report(0, 10, true), b.report(1, 10);
+  b.note("danger: a store with no room for connections looks dead; its probe answers, so it is not cold, and");
+  b.note("idle connections are released after use");
+  b.answer(0, Ending::connectFailed);
+  b.pass(300);
+  b.report(1, 10);
+  b.arrive(0);
+  b.round();
+  b.answer(1, Ending::ok, Role::replica);
+  b.round();
+}
+
+void readAsLook() {
+  Terms t = Bench::terms({kBounded});
+  t.storesCheck = true, t.secondCopies = false, t.fronts = 20;
+  Bench b(t);
+  b.list(3);
+  b.note("danger: probes fail while statements succeed; where replicas check, a due read is the look");
+  for (int s = 0; s < 3; ++s) b.rules.probed(s, false, {}, b.clock);
+  b.pass(2500);
+  b.arrive(0);
+  b.round();
+  b.answer(0, Ending::ok, Role::replica, 0, 20);
+  b.arrive(0);
+  b.round();
+}
+
 void askedList() {
   Terms t = Bench::terms({kAny});
   t.mustAsk = true;
@@ -402,6 +434,8 @@
     {"untrueReport", untrueReport},
     {"deadStore", deadStore},
     {"coldDebt", coldDebt},
+    {"fullTable", fullTable},
+    {"readAsLook", readAsLook},
     {"probesEarned", probesEarned},
     {"repeats", repeats},
     {"standing", standing},
