--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -24,6 +24,7 @@
 constexpr double kReentry = 0.75;  // above the age that a report has when it comes in, or none would return
 constexpr double kSpill = 0.1;     // of the SLO time that a long read waits before it takes one more replica
 constexpr double kLongMembers = 0.34;  // of a group that long reads may take at the most
+constexpr double kHostMargin = 1.5;    // hosts for each whole member's work of long reads, at many fronts
 constexpr double kHostShare = 0.5;     // of a host's limit that short reads may fill
 constexpr double kSlowStart = 10;      // SLO times (the smallest) over which a returned replica ramps up
 // The list, as shares of the time after which a front must have asked.
@@ -244,9 +245,11 @@
   // They fill members in list order, the same at every front, and wait a while before they take one more.
   // Short reads that any may answer go there first too: on a replica that lags they would keep it behind.
   bool packed = longRead(st.workload), hosted = w.level == Level::any && !packed && anyLongRead();
-  int most = std::max(1, static_cast<int>(static_cast<double>(g.members.size()) * kLongMembers)), rank = 0;
-  int taken = std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
-  if (firstLimit_ < 1) taken = most;  // danger: many fronts that all fill one host first overrun it
+  int members = static_cast<int>(g.members.size()), most = std::max(1, static_cast<int>(members * kLongMembers));
+  int rank = 0, taken = std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
+  // Danger: many fronts that all fill one host first overrun it; they take hosts by the work of long reads.
+  double hosts = members * kHostMargin * longWork_ / allWork_;
+  if (firstLimit_ < 1) taken = most = std::clamp(static_cast<int>(hosts + 0.5), 1, std::max(1, members - 2));
   for (int s : g.members) {
     if (s == g.primary || stores_.listed[s] != Listed::up) continue;
     rank += !stores_.down[s] && stores_.goodShare[s] > kWell;
@@ -741,6 +744,7 @@
     st.needs = it == sessions_.end() ? sessionFloor_ : it->second;
   }
   countTenant(st, now);
+  allWork_ += typical_[a.workload].seconds(), longWork_ += typical_[a.workload].seconds() * longRead(a.workload);
   GroupState& g = groups_[a.group];
   double tau = memory_.seconds(), fade = std::exp(-((now - g.rated) / memory_));
   g.rated = now;
