--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -21,7 +21,7 @@
 // The curve, as shares of the read's bound.
 constexpr double kSoft = 0.25;
 constexpr double kFloor = 0.10;
-constexpr double kReentry = 0.75;  // above the age that a report has when it comes in, or none would return
+constexpr double kReentry = 0.92;  // above the age that a report has when it comes in, or few would return
 constexpr double kSpill = 0.1;     // of the SLO time that a long read waits before it takes one more replica
 constexpr double kLongMembers = 0.34;  // of a group that long reads may take at the most
 constexpr double kHostMargin = 1.5;    // hosts for each whole member's work of long reads, at many fronts
