--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -475,6 +475,7 @@
     S.goodShare[s] -= kLearn * S.goodShare[s];
   } else if (r.ending == Ending::full) {
     cutLimit(s, sent, now);
+    if (S.limit[s] < 1 && S.cutAt[s] == now) S.limit[s] *= kCut * kCut;
     if (S.out[s] == 0) blockStore(s, now, false);
   } else if (r.ending == Ending::connectFailed || r.ending == Ending::reset) {
     S.dead[s] |= r.ending == Ending::reset;
