--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -240,13 +240,14 @@
   if (w.level == Level::write) return routeCurrent(stmt, now);
   GroupState& g = groups_[st.group];
   std::vector<int> fit, hosting;
-  bool known = false, awaited = false;
+  bool known = false, awaited = false, bounded = w.level == Level::bounded;
   // Danger: a replica may hold up its log while it runs a long read; spread over all, they leave none fresh.
   // They fill members in list order, the same at every front, and wait a while before they take one more.
   // Short reads that any may answer go there first too: on a replica that lags they would keep it behind.
   bool packed = longRead(st.workload), hosted = w.level == Level::any && !packed && anyLongRead();
-  int members = static_cast<int>(g.members.size()), most = std::max(1, static_cast<int>(members * kLongMembers));
-  int rank = 0, taken = std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
+  int rank = 0, members = static_cast<int>(g.members.size());
+  int most = std::max(1, static_cast<int>(members * kLongMembers));
+  int taken = std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
   // Danger: many fronts that all fill one host first overrun it; they take hosts by the work of long reads.
   double hosts = members * kHostMargin * longWork_ / allWork_;
   if (firstLimit_ < 1) taken = most = std::clamp(static_cast<int>(hosts + 0.5), 1, std::max(1, members - 2));
@@ -254,8 +255,8 @@
     if (s == g.primary || stores_.listed[s] != Listed::up) continue;
     rank += !stores_.down[s] && stores_.goodShare[s] > kWell;
     if (!usable(s, now) || (packed && (rank > taken || rank < 1))) continue;
-    awaited |= stores_.probing[s] && !(w.level == Level::bounded && stores_.position[s] > kNever &&
-                                       stores_.drained[s][st.workload]);
+    bool shut = bounded && stores_.position[s] > kNever && stores_.drained[s][st.workload];
+    awaited |= stores_.probing[s] && !shut;
     if (!measured(s, st, now)) continue;
     known = true;
     if (!room(s, stmt, now)) continue;
@@ -264,8 +265,7 @@
     else if (stores_.limit[s] < 1 ? stores_.freeAt[s] <= now : stores_.out[s] < stores_.limit[s] * kHostShare)
       hosting.push_back(s);
   }
-  if (!hosting.empty()) return fewest(hosting, stmt, now);
-  if (!fit.empty()) return fewest(fit, stmt, now);
+  if (!hosting.empty() || !fit.empty()) return fewest(hosting.empty() ? fit : hosting, stmt, now);
   // Reads await a probe answer that is under way, but not for long.
   if (!known && awaited && now - st.arrived < w.slo * kSearchGap) return -1;
   if (packed && rank > 0) return -1;
@@ -379,7 +379,7 @@
     double unplaced = 0, have = 0;
     for (int stmt : g.waiting) {
       Level level = terms_.workloads[stmts_[stmt].workload].level;
-      unplaced += level == Level::bounded && !terms_.storesCheck;  // there a read itself is the look
+      unplaced += level == Level::bounded;
       writes |= level == Level::write || level == Level::fresh;
     }
     std::vector<int> due;
@@ -388,7 +388,6 @@
       // One looked at in vain just now counts too: when all stand at one commit, one look is enough.
       bool looked = now - stores_.probedAt[s] < smallestBound_ * kFirstPace;
       have += stores_.probing[s] || (s != g.primary && (young || looked));
-      have += terms_.storesCheck && s != g.primary && usable(s, now) && !boundedDrained(s);
       if (stores_.probing[s] || stores_.listed[s] != Listed::up) continue;
       if (stores_.down[s] && stores_.blockedUntil[s] <= now) stores_.probing[s] = 1, out.probe(s);
       if (stores_.down[s] || now < stores_.probeDue[s]) continue;
@@ -396,10 +395,8 @@
         due.push_back(s);
     }
     // Danger: with many fronts, each with little traffic, probing all replicas costs more than the reads do.
-    std::stable_sort(due.begin(), due.end(), [&](int a, int b) {
-      return std::pair(boundedDrained(a), stores_.probeDue[a]) <
-             std::pair(boundedDrained(b), stores_.probeDue[b]);
-    });
+    auto rank = [&](int s) { return std::pair(boundedDrained(s), stores_.probeDue[s]); };
+    std::stable_sort(due.begin(), due.end(), [&](int a, int b) { return rank(a) < rank(b); });
     double flow = g.boundedRate * smallestBound_.seconds();
     bool wanted = !terms_.storesCheck && (unplaced > 0 || flow >= kSteady);
     double want = wanted ? 1 + kLead * (flow + unplaced * kSoft) : 0;
@@ -407,8 +404,7 @@
       bool fresh = stores_.position[s] == kNever && firstLimit_ >= 1;
       if (!fresh && (probeBudget_ < 1 || (have >= want && !(lost && writes && have < 1)))) continue;
       stores_.probeDue[s] = now + refresh_;
-      ++have;
-      probeBudget_ -= !fresh;
+      ++have, probeBudget_ -= !fresh;
       stores_.probing[s] = 1, out.probe(s);
     }
   }
@@ -449,7 +445,6 @@
   // Danger: a process that died and answers again is cold long before the list says that it started. One
   // that refused a connection but answered every probe had no room for one: it was never away.
   if (stores_.dead[s] || (stores_.down[s] && !terms_.mayProbe)) begins(s, now, now);
-  if (stores_.down[s] && !stores_.dead[s]) crowdedAt_ = now;
   unblock(s);
 }
 
@@ -475,10 +470,12 @@
     S.goodShare[s] -= kLearn * S.goodShare[s];
   } else if (r.ending == Ending::full) {
     cutLimit(s, sent, now);
+    // Danger: a light front hears of a full queue once in seconds; one step would leave it standing.
     if (S.limit[s] < 1 && S.cutAt[s] == now) S.limit[s] *= kCut * kCut;
     if (S.out[s] == 0) blockStore(s, now, false);
   } else if (r.ending == Ending::connectFailed || r.ending == Ending::reset) {
     S.dead[s] |= r.ending == Ending::reset;
+    if (r.ending == Ending::connectFailed) crowdedAt_ = now;
     if (sent >= S.blockedAt[s]) blockStore(s, now, true);  // what was sent before the block tells nothing new
   }
 }
@@ -491,9 +488,8 @@
     if (e.out && e.store == s) return false;
   Level level = terms_.workloads[st.workload].level;
   bool current = level == Level::write || level == Level::fresh;
-  double share = s == groups_[st.group].primary && !current ? kReadShare
-                 : longRead(st.workload)                    ? kLongRoom
-                                                            : 1;
+  double share = longRead(st.workload) ? kLongRoom : 1;
+  if (s == groups_[st.group].primary && !current) share = kReadShare;
   // Danger: many fronts with one each are too many already. Below one the limit spaces sends out in time, by
   // the work they bring: some ahead of their time, writes the most, reads at the primary none.
   double limit = stores_.limit[s], ahead = current ? kAhead : share < 1 ? -1 : 1;
@@ -745,7 +741,8 @@
     st.needs = it == sessions_.end() ? sessionFloor_ : it->second;
   }
   countTenant(st, now);
-  allWork_ += typical_[a.workload].seconds(), longWork_ += typical_[a.workload].seconds() * longRead(a.workload);
+  double brings = typical_[a.workload].seconds();
+  allWork_ += brings, longWork_ += brings * longRead(a.workload);
   GroupState& g = groups_[a.group];
   double tau = memory_.seconds(), fade = std::exp(-((now - g.rated) / memory_));
   g.rated = now;
@@ -811,9 +808,8 @@
     stores_.faded[s] = now;
   }
   // Danger: idle connections of hundreds of fronts fill the tables of stores that accept few.
-  if (now - crowdedAt_ < memory_)
-    for (int s : used_)
-      if (stores_.out[s] == 0) out.release(s);
+  for (int s : used_)
+    if (stores_.out[s] == 0 && now - crowdedAt_ < terms_.coldRamp) out.release(s);
   used_.clear();
   watchExecutions(now, out);
   probeRound(now, out);  // before reads are placed: they may await the answer
