--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -38,7 +38,6 @@
 constexpr double kDrift = 0.01;      // by which a smallest figure rises again at each sample
 constexpr double kLagPace = 0.25;    // of a lagging replica's lag: it can't be fresh much sooner
 constexpr double kSlowestPace = 10;  // smallest bounds between two probes of a store that is wanted
-constexpr double kSteady = 2;     // bounded reads in the smallest bound, from which positions are kept young
 constexpr double kLagging = 1.5;  // times the oldest a healthy replica's report can be
 constexpr double kLikely = 0.6;   // of the period learned: two reports closer than that tell no period
 constexpr double kProbeSpend = 0.03;  // of a statement's worth: probes earned by each bounded read
@@ -398,7 +397,7 @@
     auto rank = [&](int s) { return std::pair(boundedDrained(s), stores_.probeDue[s]); };
     std::stable_sort(due.begin(), due.end(), [&](int a, int b) { return rank(a) < rank(b); });
     double flow = g.boundedRate * smallestBound_.seconds();
-    bool wanted = !terms_.storesCheck && (unplaced > 0 || flow >= kSteady);
+    bool wanted = !terms_.storesCheck && unplaced > 0;
     double want = wanted ? 1 + kLead * (flow + unplaced * kSoft) : 0;
     for (int s : due) {
       bool fresh = stores_.position[s] == kNever && firstLimit_ >= 1;
