--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -490,8 +490,9 @@
   double share = longRead(st.workload) ? kLongRoom : 1;
   if (s == groups_[st.group].primary && !current) share = kReadShare;
   // Danger: many fronts with one each are too many already. Below one the limit spaces sends out in time, by
-  // the work they bring: some ahead of their time, writes the most, reads at the primary none.
-  double limit = stores_.limit[s], ahead = current ? kAhead : share < 1 ? -1 : 1;
+  // the work they bring: some ahead of their time, writes the most; reads at the primary hang back.
+  double limit = stores_.limit[s], ahead = share < 1 ? -1 : 1;
+  if (current) ahead = std::max(1.0, kAhead * std::min(1.0, limit / firstLimit_));  // less where it was cut
   double least = limit < 1 && current ? kAhead : 1;
   if (stores_.out[s] >= std::max(least, std::floor(limit * share))) return false;
   if (limit < 1 && now + typical_[st.workload] * (ahead / limit) < stores_.freeAt[s]) return false;
