--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -41,8 +41,8 @@
 constexpr double kLagging = 1.5;  // times the oldest a healthy replica's report can be
 constexpr double kLikely = 0.6;   // of the period learned: two reports closer than that tell no period
 constexpr double kProbeSpend = 0.03;  // of a statement's worth: probes earned by each bounded read
-constexpr double kProbesMost = 4;     // a read, and in store
-constexpr double kProbesCap = 16;
+constexpr double kProbesMost = 4;     // probes that one read earns at the most, and
+constexpr double kProbesCap = 16;     // that a front may have in hand
 constexpr double kLead = 0.75;    // measured replicas wanted for each bounded read in flight
 // Health.
 constexpr double kLearn = 0.1;        // weight of one outcome in a running share
