--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -345,16 +345,17 @@
 
 // ---- 2. probe timing ----
 
+// The next look at a replica that lags this far or stands still: it can't be fresh much sooner.
+void Rules::lookLater(int s, Span lag, Span least, TimePoint now) {
+  stores_.probeDue[s] = now + std::min(std::max(least, lag * kLagPace), smallestBound_ * kSlowestPace);
+}
+
 // Reports are renewed at a steady pace: learn it, and the age a report has at the earliest.
 void Rules::learnRefresh(int s, TimePoint position, TimePoint now) {
   TimePoint before = stores_.reported[s], asked = std::exchange(stores_.probedAt[s], now);
   Span age = now - position, pace = smallestBound_ * kFirstPace;
   stores_.reported[s] = position;
-  // Where it lags or stands still it can't be fresh much sooner.
-  if (age >= (refresh_ + reportAge_) * kLagging) {
-    stores_.probeDue[s] = now + std::min(std::max(refresh_, age * kLagPace), smallestBound_ * kSlowestPace);
-    return;
-  }
+  if (age >= (refresh_ + reportAge_) * kLagging) return lookLater(s, age, refresh_, now);
   if (position > before) {
     // The report was renewed after the last look, and is renewed again a period later.
     stores_.renewal[s] = std::max(asked, now - refresh_) + refresh_;
@@ -767,7 +768,7 @@
             false);
   if (r.position && r.role == Role::replica) {
     learnPosition(e.store, *r.position, Span{}, now);
-    stores_.probeDue[e.store] = now + std::min((now - *r.position) * kLagPace, smallestBound_ * kSlowestPace);
+    lookLater(e.store, now - *r.position, Span{}, now);
   }
   learnHealth(e.store, st.workload, r, e.sent, e.paced, now);
   if (r.ending == Ending::ok) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -163,7 +163,7 @@
   std::vector<char> down, dead;  // refused a connection; and a probe found it away
   // load
   std::vector<int> out;
-  std::vector<TimePoint> freeAt;  // where the limit is below one: when it may be sent the next
+  std::vector<TimePoint> freeAt;  // where the limit is below one: when its pace has a place again
   std::vector<double> limit;
   std::vector<TimePoint> cutAt;
   std::vector<double> coldBudget;
@@ -242,6 +242,7 @@
   int searchTurn(int stmt, TimePoint now);
   // probe timing
   void probeRound(TimePoint now, Writer& out);
+  void lookLater(int s, Span lag, Span least, TimePoint now);
   void learnRefresh(int s, TimePoint position, TimePoint now);
   // health
   bool usable(int s, TimePoint now) const;
