--- /dev/null
+++ b/src/front/front.cpp
@@ -0,0 +1,175 @@
+#include "front/front.h"
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "log/log.h"
+
+namespace reedchute::front {
+namespace {
+
+// Descriptors: a reserve for the list, the signals, the log and the like; of the rest, a third is the stores'.
+constexpr std::size_t kReserve = 24;
+constexpr std::size_t kStorePart = 3;
+// PROTOCOL: after SIGTERM clients keep coming for 0.2 to 0.4 s, and what arrives up to 0.7 s after it counts.
+constexpr Span kStillComing{550'000};
+constexpr Span kTallyEvery{5'000'000};
+
+peers::Stores::Limits storeLimits(const Given& g) {
+  return {g.terms.connectTimeout, g.keepalive, (g.sockets - kReserve) / kStorePart};
+}
+
+peers::Clients::Limits clientLimits(const Given& g) {
+  std::size_t rest = g.sockets - kReserve;
+  return {rest - rest / kStorePart, g.terms.connectTimeout, g.keepalive};
+}
+
+}  // namespace
+
+const char* nameOf(Phase p) {
+  switch (p) {
+    case Phase::starting:
+      return "starting";
+    case Phase::serving:
+      return "serving";
+    case Phase::leaving:
+      return "leaving";
+    case Phase::closing:
+      return "closing";
+    default:
+      return "ended";
+  }
+}
+
+Front::Front(Given given)
+    : given_(std::move(given)),
+      rules_(given_.terms, scheduler_.now()),
+      book_(scheduler_, rules_, relay_),
+      stores_(scheduler_, book_, storeLimits(given_)),
+      send_(scheduler_, book_, stores_, given_.terms.connectTimeout),
+      route_(scheduler_, rules_, book_, send_, relay_, stores_),
+      takeIn_(given_.names, groups_),
+      admit_(rules_, book_),
+      clients_(scheduler_, *this, clientLimits(given_)),
+      list_(scheduler_, *this, given_.discovery, given_.discoveryHost,
+            {given_.terms.askEvery, given_.terms.connectTimeout, given_.terms.mustAsk}),
+      told_(scheduler_) {
+  route_.list(&list_);
+}
+
+void Front::enter(Phase p) {
+  phase_ = p;
+  log::line("phase", "name=%s phase=%s open=%zu sessions=%zu", given_.name.c_str(), nameOf(p),
+            book_.openCount(), clients_.sessions());
+}
+
+void Front::run() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  enter(Phase::starting);
+  tellList(given_.known, false);
+  scheduler_.spawn(watchSignals(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC)));
+  scheduler_.spawn(route_.alarm());
+  scheduler_.spawn(list_.run());
+  scheduler_.spawn(leave());
+  scheduler_.spawn(tally());
+  clients_.listen(given_.listen);
+  enter(Phase::serving);
+  scheduler_.run([this] { route_.round(); });
+  enter(Phase::ended);
+  log::flushCounts();
+}
+
+sched::Task<> Front::watchSignals(int fd) {
+  sched::Descriptor signals(scheduler_, fd);
+  for (;;) {
+    signalfd_siginfo info;
+    while (read(signals.fd(), &info, sizeof info) == sizeof info) {
+      log::line("signal", "number=%u", info.ssi_signo);
+      told_.set();
+    }
+    co_await signals.in.wait();
+  }
+}
+
+sched::Task<> Front::leave() {
+  co_await told_.wait();
+  enter(Phase::leaving);
+  TimePoint until = scheduler_.now() + kStillComing;
+  while (scheduler_.now() < until) co_await told_.wait(until);
+  enter(Phase::closing);
+  clients_.stopListening();
+  clients_.sendAway();
+  // Danger: exit while an answer is still being written would cut it off.
+  while (clients_.sessions() > 0) co_await told_.wait(scheduler_.now() + given_.terms.tick);
+  scheduler_.stop();
+}
+
+sched::Task<> Front::tally() {
+  for (;;) {
+    sched::Event pause(scheduler_);
+    co_await pause.wait(scheduler_.now() + kTallyEvery);
+    log::line("tally", "taken=%llu open=%zu sessions=%zu store_connections=%zu",
+              static_cast<unsigned long long>(taken_), book_.openCount(), clients_.sessions(),
+              stores_.connections());
+    log::flushCounts();
+  }
+}
+
+int Front::query(std::string_view text, stages::Asker& asker, std::string& reply) {
+  stages::Taken taken;
+  TimePoint now = scheduler_.now();
+  if (auto answer = takeIn_.read(text, now, taken)) {
+    reply = std::move(*answer);
+    return -1;
+  }
+  ++taken_;
+  return admit_.admit(std::move(taken), asker, now);
+}
+
+void Front::left(int stmt) {
+  admit_.withdraw(stmt);
+  book_.touch();
+}
+
+void Front::listCame(const peers::Roster& roster) {
+  log::line("list", "version=%lld full=%d entries=%zu", static_cast<long long>(roster.version), roster.full,
+            roster.members.size());
+  tellList(roster, true);
+}
+
+void Front::listFailed() {
+  rules_.listFailed(scheduler_.now());
+  book_.touch();
+}
+
+void Front::tellList(const peers::Roster& roster, bool asked) {
+  TimePoint now = scheduler_.now();
+  rules_.listBegins(roster.full);
+  for (const peers::Member& m : roster.members) {
+    Entry e;
+    e.store = storeIds_.add(m.id);
+    e.group = groups_.add(m.group);
+    e.zone = placeOf(given_.names.zones, m.zone);
+    e.listed = m.listed;
+    e.primary = m.primary;
+    e.weight = m.weight;
+    if (m.startedMs > 0) e.started = TimePoint{m.startedMs * 1000};
+    stores_.place(e.store, m.address);
+    rules_.entry(e, now);
+    log::line("member", "store=%d id=%s group=%lld state=%d primary=%d started_ms=%lld", e.store, m.id.c_str(),
+              static_cast<long long>(m.group), static_cast<int>(m.listed), m.primary,
+              static_cast<long long>(m.startedMs));
+  }
+  rules_.listEnds(asked);
+  book_.touch();
+}
+
+}  // namespace reedchute::front
--- /dev/null
+++ b/src/front/front.h
@@ -0,0 +1,71 @@
+// The front: one object whose phases lead from the start to the exit. It owns the module, the stages and the
+// peers, and ties them together.
+#pragma once
+
+#include <csignal>
+#include <optional>
+
+#include "base/index.h"
+#include "front/given.h"
+#include "peers/clients.h"
+#include "peers/list.h"
+#include "peers/stores.h"
+#include "stages/admit.h"
+#include "stages/book.h"
+#include "stages/relay.h"
+#include "stages/route.h"
+#include "stages/send.h"
+#include "stages/take_in.h"
+
+namespace reedchute::front {
+
+enum class Phase {
+  starting,  // the known list is told to the module, nothing listens yet
+  serving,
+  leaving,   // told to end: still serving whoever comes, as clients hear of it late
+  closing,   // no new clients; idle ones are sent away, what was taken gets its answer
+  ended,
+};
+
+const char* nameOf(Phase p);
+
+class Front : public peers::Desk, public peers::Listener {
+ public:
+  explicit Front(Given given);
+
+  // Serves until it is told to end, and returns when all that was taken has its answer.
+  void run();
+  Phase phase() const { return phase_; }
+
+  int query(std::string_view text, stages::Asker& asker, std::string& reply) override;
+  void left(int stmt) override;
+  void listCame(const peers::Roster& roster) override;
+  void listFailed() override;
+
+ private:
+  void enter(Phase p);
+  void tellList(const peers::Roster& roster, bool asked);
+  sched::Task<> watchSignals(int fd);
+  sched::Task<> leave();
+  sched::Task<> tally();
+
+  Given given_;
+  Phase phase_ = Phase::starting;
+  sched::Scheduler scheduler_;
+  Index<std::string> storeIds_;
+  Index<std::int64_t> groups_;
+  Rules rules_;
+  stages::Relay relay_;
+  stages::Book book_;
+  peers::Stores stores_;
+  stages::Send send_;
+  stages::Route route_;
+  stages::TakeIn takeIn_;
+  stages::Admit admit_;
+  peers::Clients clients_;
+  peers::List list_;
+  sched::Event told_;  // a signal to end has come
+  std::uint64_t taken_ = 0;
+};
+
+}  // namespace reedchute::front
--- /dev/null
+++ b/src/front/given.cpp
@@ -0,0 +1,69 @@
+#include "front/given.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+
+namespace reedchute::front {
+namespace {
+
+const json::Value& need(const json::Value& in, const char* name, json::Value::Kind kind) {
+  const json::Value* v = in.find(name);
+  if (!v || v->kind != kind) throw Malformed(std::string("the configuration has no proper '") + name + "'");
+  return *v;
+}
+
+sockaddr_in addressIn(const json::Value& in, const char* name) {
+  auto address = sched::parseAddress(need(in, name, json::Value::Kind::text).text);
+  if (!address) throw Malformed(std::string("the configuration's '") + name + "' is no address");
+  return *address;
+}
+
+}  // namespace
+
+Given readGiven(const char* path) {
+  if (!path || !*path) throw Malformed("LB_CONFIG names no file");
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw Malformed(std::string("the configuration can't be opened: ") + path);
+  return givenFrom({std::istreambuf_iterator<char>(file), {}});
+}
+
+Given givenFrom(const std::string& text) {
+  using Kind = json::Value::Kind;
+  json::Value config;
+  std::string why;
+  if (!json::parse(text, config, why)) throw Malformed("the configuration is no JSON: " + why);
+  if (config.kind != Kind::object) throw Malformed("the configuration is no JSON object");
+  Given g;
+  g.name = need(config, "name", Kind::text).text;
+  g.listen = addressIn(config, "listen");
+  g.discovery = addressIn(config, "discovery");
+  g.discoveryHost = need(config, "discovery", Kind::text).text;
+  const std::string& seed = need(config, "seed", Kind::text).text;
+  std::uint64_t seedValue = 0;
+  auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), seedValue, 16);
+  if (seed.empty() || error != std::errc{} || end != seed.data() + seed.size()) badValue("seed", seed);
+  if (!peers::readRoster(need(config, "known", Kind::object), g.known, why))
+    throw Malformed("the known list makes no sense: " + why);
+  Params params;
+  params.add("", need(config, "settings", Kind::object));
+  g.terms = termsFrom(params, seedValue, g.names);
+  g.keepalive = Span{params.integer("limits.keepalive")};
+  if (g.keepalive <= g.terms.connectTimeout || g.terms.connectTimeout <= Span{})
+    throw Malformed("limits.keepalive must be above limits.connect_timeout, and that above 0");
+  // The smaller of what the platform states and what the process may really hold.
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  g.sockets = static_cast<std::size_t>(limit.rlim_cur);
+  if (const json::Value* limits = config.find("limits"))
+    if (const json::Value* sockets = limits->find("sockets"); sockets && sockets->isNumber())
+      g.sockets = std::min(g.sockets, static_cast<std::size_t>(std::max(0.0, sockets->number)));
+  if (g.sockets < 64) throw Malformed("fewer than 64 sockets are allowed");
+  return g;
+}
+
+}  // namespace reedchute::front
--- /dev/null
+++ b/src/front/main.cpp
@@ -0,0 +1,17 @@
+// reedchute: the front on sockets. All that it is told comes from the file that LB_CONFIG names.
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+
+#include "front/front.h"
+
+int main() {
+  try {
+    reedchute::front::Front front(reedchute::front::readGiven(std::getenv("LB_CONFIG")));
+    front.run();
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "reedchute: %s\n", e.what());
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/json/json.h
@@ -0,0 +1,63 @@
+// An incremental JSON reader: fed bytes as they come, it builds one value. No I/O.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace reedchute::json {
+
+struct Value {
+  enum class Kind { null, boolean, number, text, list, object };
+  Kind kind = Kind::null;
+  bool truth = false;
+  double number = 0;
+  std::string text;  // of a text; of a number, its digits as they came
+  std::vector<Value> items;
+  std::vector<std::pair<std::string, Value>> members;
+
+  const Value* find(std::string_view name) const;
+  bool isText() const { return kind == Kind::text; }
+  bool isNumber() const { return kind == Kind::number; }
+};
+
+class Reader {
+ public:
+  // False once the input can't be JSON any more; `why` then says so.
+  bool feed(std::string_view bytes);
+  // Call at the end of the input: true when exactly one whole value was read.
+  bool finish();
+  const std::string& why() const { return why_; }
+  Value take() { return std::move(root_); }
+
+ private:
+  enum class State { value, firstItem, firstName, name, colon, comma, text, escape, hex, number, word, done, bad };
+  struct Level {
+    Value value;
+    std::string name;  // of the member that is being read
+  };
+
+  bool step(char c);
+  bool begin(char c);
+  bool closed(Value v);
+  bool endText();
+  bool endNumber();
+  bool endWord();
+  bool fail(const char* why);
+  void addCode();
+
+  State state_ = State::value;
+  std::vector<Level> stack_;
+  std::string token_;
+  bool nameNext_ = false;
+  unsigned code_ = 0, high_ = 0;
+  int digits_ = 0;
+  Value root_;
+  std::string why_;
+};
+
+// A whole text at once.
+bool parse(std::string_view text, Value& into, std::string& why);
+
+}  // namespace reedchute::json
--- /dev/null
+++ b/src/log/log.cpp
@@ -0,0 +1,74 @@
+#include "log/log.h"
+
+#include <array>
+#include <cstdarg>
+#include <cstdio>
+#include <cstring>
+
+namespace reedchute::log {
+namespace {
+
+constexpr int kEvents = 64;     // distinct names; beyond them lines share the last place
+constexpr int kPerSecond = 10;  // lines a second of one event
+
+struct Meter {
+  const char* event = nullptr;
+  std::int64_t second = 0;
+  int written = 0;
+  std::uint64_t left = 0;
+};
+
+std::array<Meter, kEvents> meters;
+TimePoint now_{};
+std::uint64_t suppressed_ = 0;
+
+Meter& meterOf(const char* event) {
+  for (Meter& m : meters) {
+    if (m.event == nullptr) m.event = event;
+    if (std::strcmp(m.event, event) == 0) return m;
+  }
+  return meters.back();
+}
+
+}  // namespace
+
+void clock(TimePoint now) { now_ = now; }
+
+void line(const char* event, const char* format, ...) {
+  Meter& m = meterOf(event);
+  std::int64_t second = now_.us / 1'000'000;
+  if (second != m.second) m.second = second, m.written = 0;
+  if (m.written >= kPerSecond) {
+    ++m.left, ++suppressed_;
+    return;
+  }
+  ++m.written;
+  char text[480];
+  va_list args;
+  va_start(args, format);
+  std::vsnprintf(text, sizeof text, format, args);
+  va_end(args);
+  for (char& c : text) {
+    if (c == '\0') break;
+    if (static_cast<unsigned char>(c) < ' ') c = '?';
+  }
+  if (m.left > 0)
+    std::fprintf(stderr, "%lld %s %s left_out=%llu\n", static_cast<long long>(now_.us / 1000), event, text,
+                 static_cast<unsigned long long>(m.left));
+  else
+    std::fprintf(stderr, "%lld %s %s\n", static_cast<long long>(now_.us / 1000), event, text);
+  m.left = 0;
+}
+
+void flushCounts() {
+  for (Meter& m : meters) {
+    if (m.event == nullptr || m.left == 0) continue;
+    std::fprintf(stderr, "%lld %s left_out=%llu\n", static_cast<long long>(now_.us / 1000), m.event,
+                 static_cast<unsigned long long>(m.left));
+    m.left = 0;
+  }
+}
+
+std::uint64_t suppressed() { return suppressed_; }
+
+}  // namespace reedchute::log
--- /dev/null
+++ b/src/log/log.h
@@ -0,0 +1,24 @@
+// The one way to the log: a line an event, rate-limited by the name of the event.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "base/time.h"
+
+namespace reedchute::log {
+
+// The clock that lines are stamped and limited by; set once a round.
+void clock(TimePoint now);
+
+// Writes "<ms> <event> <fields>" to standard error. Of one event only so many lines a second are written; what
+// was left out is counted on the next one. `event` must be a literal: the limit goes by its text.
+[[gnu::format(printf, 2, 3)]] void line(const char* event, const char* format, ...);
+
+// A line for each event of which something was left out since its last line.
+void flushCounts();
+
+// How many lines were left out so far.
+std::uint64_t suppressed();
+
+}  // namespace reedchute::log
--- /dev/null
+++ b/src/peers/clients.h
@@ -0,0 +1,59 @@
+// The clients: the listening socket and a session for each connection.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "pg/messages.h"
+#include "sched/socket.h"
+#include "stages/statement.h"
+
+namespace reedchute::peers {
+
+// Where sessions bring their queries.
+class Desk {
+ public:
+  virtual ~Desk() = default;
+  // Takes a query. Either the answer is ready at once and is put into `reply`, or the statement's index is
+  // returned and the asker gets its answer later.
+  virtual int query(std::string_view text, stages::Asker& asker, std::string& reply) = 0;
+  virtual void left(int stmt) = 0;  // the client went away in the middle
+};
+
+class Clients {
+ public:
+  struct Limits {
+    std::size_t sessions = 0;
+    Span linger;   // that a refused client is given to read why
+    Span patience; // that a client is given to read an answer or to finish a message
+  };
+
+  Clients(sched::Scheduler& s, Desk& desk, Limits limits);
+  ~Clients();
+
+  // Accepts until stopListening(); throws where the address can't be had.
+  void listen(const sockaddr_in& address);
+  void stopListening();
+  // From now on sessions end when they are idle, at once or after their answer.
+  void sendAway();
+  std::size_t sessions() const { return sessions_.size(); }
+
+ private:
+  class Session;
+
+  sched::Task<> accept();
+  sched::Task<> serve(std::unique_ptr<Session> s, bool turnAway);
+  bool closeLongestIdle();
+
+  sched::Scheduler& scheduler_;
+  Desk& desk_;
+  Limits limits_;
+  std::unique_ptr<sched::Descriptor> listener_;
+  std::list<Session*> sessions_;
+  std::list<Session*> idle_;  // the one idle longest first
+  bool away_ = false;
+};
+
+}  // namespace reedchute::peers
--- /dev/null
+++ b/src/peers/list.cpp
@@ -0,0 +1,176 @@
+#include "peers/list.h"
+
+#include <algorithm>
+#include <set>
+
+#include "http/response.h"
+#include "log/log.h"
+
+namespace reedchute::peers {
+namespace {
+
+constexpr std::size_t kMostBody = 4 * 1024 * 1024;
+constexpr std::int64_t kMostWaitMs = 60'000;  // the service allows no more
+
+const char* readMember(const json::Value& v, Member& m) {
+  auto text = [&](const char* name, std::string& to) {
+    const json::Value* f = v.find(name);
+    if (!f || !f->isText()) return false;
+    to = f->text;
+    return true;
+  };
+  auto number = [&](const char* name, double& to) {
+    const json::Value* f = v.find(name);
+    if (!f || !f->isNumber()) return false;
+    to = f->number;
+    return true;
+  };
+  std::string state, address, role;
+  double group = 0, started = 0;
+  if (!text("id", m.id) || m.id.empty()) return "an entry without an id";
+  if (!text("state", state)) return "an entry without a state";
+  if (state == "up")
+    m.listed = Listed::up;
+  else if (state == "draining")
+    m.listed = Listed::draining;
+  else if (state == "removed")
+    m.listed = Listed::gone;
+  else
+    return "an entry in an unknown state";
+  if (!text("addr", address)) return "an entry without an address";
+  auto parsed = sched::parseAddress(address);
+  if (!parsed) return "an address that can't be read";
+  m.address = *parsed;
+  if (!number("cell", group) || group < INT32_MIN || group > INT32_MAX) return "an entry without a group";
+  m.group = static_cast<std::int64_t>(group);
+  text("zone", m.zone);
+  number("weight", m.weight);
+  if (number("started_ms", started) && started > 0 && started < 1e15)
+    m.startedMs = static_cast<std::int64_t>(started);
+  if (text("access", role)) m.primary = role == "writer";
+  return nullptr;
+}
+
+}  // namespace
+
+bool readRoster(const json::Value& from, Roster& into, std::string& why) {
+  const json::Value *version = from.find("version"), *full = from.find("full"), *list = from.find("servers");
+  if (!version || !version->isNumber() || !full || full->kind != json::Value::Kind::boolean || !list ||
+      list->kind != json::Value::Kind::list) {
+    why = "no list with version, full and servers";
+    return false;
+  }
+  Roster r;
+  r.version = static_cast<std::int64_t>(std::clamp(version->number, -1e15, 1e15));
+  r.full = full->truth;
+  std::set<std::string> ids;
+  for (const json::Value& entry : list->items) {
+    Member m;
+    if (const char* wrong = readMember(entry, m)) {
+      why = wrong;
+      return false;
+    }
+    if (!ids.insert(m.id).second && r.full) {
+      why = "an id that stands twice";
+      return false;
+    }
+    r.members.push_back(std::move(m));
+  }
+  into = std::move(r);
+  return true;
+}
+
+List::List(sched::Scheduler& s, Listener& listener, sockaddr_in service, std::string host, Terms terms)
+    : scheduler_(s), listener_(listener), service_(service), host_(std::move(host)), terms_(terms), asked_(s) {}
+
+void List::ask() { asked_.set(); }
+
+sched::Task<> List::run() {
+  for (;;) {
+    if (terms_.onDemand) co_await asked_.wait();
+    Call whole = co_await call(!known_);
+    // A watch goes on for as long as each next call follows the last answer at once.
+    while (whole == Call::good) whole = co_await call(!known_);
+    if (terms_.onDemand) listener_.listFailed();
+    // Danger: a service that fails at once would be called in a loop.
+    co_await asked_.wait(scheduler_.now() + terms_.pause);
+  }
+}
+
+sched::Task<List::Call> List::call(bool whole) {
+  std::int64_t waitMs = std::min(kMostWaitMs, terms_.wait.us / 1000);
+  std::string path = "/catalog/members";
+  if (!whole) path += "?index=" + std::to_string(version_) + "&wait=" + std::to_string(waitMs);
+  Span limit = whole ? terms_.wait : terms_.wait * 1.5;
+  std::string body;
+  bool got = co_await exchange(path, scheduler_.now() + limit, body);
+  if (got && take(body, whole)) co_return Call::good;
+  socket_.reset();
+  in_.clear();
+  co_return Call::failed;
+}
+
+bool List::take(const std::string& body, bool whole) {
+  json::Value value;
+  Roster roster;
+  std::string why;
+  if (!json::parse(body, value, why) || !readRoster(value, roster, why)) {
+    log::line("list_bad", "what=\"%s\"", why.c_str());
+    return false;
+  }
+  if (whole && !roster.full) {
+    log::line("list_bad", "what=\"changes where the whole list was asked for\"");
+    return false;
+  }
+  if (!roster.full && roster.version < version_) {
+    log::line("list_back", "version=%lld held=%lld", static_cast<long long>(roster.version),
+              static_cast<long long>(version_));
+    known_ = false;  // the service has started anew: the whole list is fetched
+    return true;
+  }
+  version_ = roster.version;
+  known_ = true;
+  if (roster.full || !roster.members.empty()) listener_.listCame(roster);
+  return true;
+}
+
+sched::Task<bool> List::exchange(const std::string& path, TimePoint until, std::string& body) {
+  bool fresh = !socket_ || !socket_->open();
+  if (fresh) {
+    in_.clear();
+    socket_.emplace(scheduler_, sched::startConnect(service_));
+    bool up = co_await sched::connected(*socket_, std::min(until, scheduler_.now() + terms_.pause));
+    if (!up) {
+      log::line("list_away", "what=\"no connection\"");
+      co_return false;
+    }
+  }
+  std::string call = "GET " + path + " HTTP/1.1\r\nHost: " + host_ + "\r\nAccept: application/json\r\n\r\n";
+  bool sent = co_await sched::writeAll(*socket_, call, until);
+  if (!sent) co_return false;
+  http::Response response(kMostBody);
+  for (;;) {
+    in_.erase(0, response.feed(in_));
+    if (response.whole() || response.bad()) break;
+    sched::Socket::Got got = socket_->read(in_, kMostBody);
+    if (got == sched::Socket::Got::some) continue;
+    if (got == sched::Socket::Got::ended) {
+      response.ended();
+      break;
+    }
+    bool set = co_await socket_->in.wait(until);
+    if (!set) {
+      log::line("list_silent", "path=%s", path.c_str());
+      co_return false;
+    }
+  }
+  if (response.whole() && !response.keepsOpen()) socket_->close();
+  if (!response.whole() || response.status() != 200) {
+    log::line("list_bad", "status=%d what=\"%s\"", response.status(), response.why().c_str());
+    co_return false;
+  }
+  body = response.body();
+  co_return true;
+}
+
+}  // namespace reedchute::peers
--- /dev/null
+++ b/src/peers/list.h
@@ -0,0 +1,73 @@
+// The list of stores: fetched whole, then watched over one kept connection.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "json/json.h"
+#include "rules.h"
+#include "sched/socket.h"
+
+namespace reedchute::peers {
+
+// An entry as the list's service words it.
+struct Member {
+  std::string id, zone;
+  sockaddr_in address{};
+  std::int64_t group = 0;
+  Listed listed = Listed::up;
+  bool primary = false;
+  double weight = 1;
+  std::int64_t startedMs = 0;
+};
+
+struct Roster {
+  std::int64_t version = 0;
+  bool full = false;
+  std::vector<Member> members;
+};
+
+// False, and `why`, where anything in it can't be read: then none of it counts.
+bool readRoster(const json::Value& from, Roster& into, std::string& why);
+
+// Whoever keeps the list.
+class Listener {
+ public:
+  virtual ~Listener() = default;
+  virtual void listCame(const Roster& roster) = 0;
+  virtual void listFailed() = 0;  // a call that was asked for has failed
+};
+
+class List {
+ public:
+  struct Terms {
+    Span wait;      // that a watch may be held
+    Span pause;     // before a call that failed is made again
+    bool onDemand;  // called only when the module asks
+  };
+  List(sched::Scheduler& s, Listener& listener, sockaddr_in service, std::string host, Terms terms);
+
+  sched::Task<> run();
+  void ask();  // where it comes on demand
+
+ private:
+  enum class Call { good, failed };
+  sched::Task<Call> call(bool whole);
+  sched::Task<bool> exchange(const std::string& path, TimePoint until, std::string& body);
+  bool take(const std::string& body, bool whole);
+
+  sched::Scheduler& scheduler_;
+  Listener& listener_;
+  sockaddr_in service_;
+  std::string host_;
+  Terms terms_;
+  sched::Event asked_;
+  std::optional<sched::Socket> socket_;
+  std::string in_;
+  std::int64_t version_ = 0;
+  bool known_ = false;
+};
+
+}  // namespace reedchute::peers
--- /dev/null
+++ b/src/peers/stores.cpp
@@ -0,0 +1,359 @@
+#include "peers/stores.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "log/log.h"
+
+namespace reedchute::peers {
+namespace {
+
+constexpr std::size_t kMostMessage = 256 * 1024;  // a value of 64 KiB, even written as hex digits, fits twice
+constexpr std::size_t kMostStartup = 64 * 1024;
+
+std::optional<double> numberIn(std::string_view text) {
+  double value = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+}  // namespace
+
+Report readReport(std::string_view text) {
+  Report report;
+  while (!text.empty()) {
+    std::size_t comma = text.find(',');
+    std::string_view pair = text.substr(0, comma);
+    text.remove_prefix(comma == std::string_view::npos ? text.size() : comma + 1);
+    std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) continue;
+    std::optional<double> value = numberIn(pair.substr(equals + 1));
+    if (!value) continue;
+    if (pair.substr(0, equals) == "x0") report.position = TimePoint{static_cast<std::int64_t>(*value * 1e6)};
+    if (pair.substr(0, equals) == "x1") report.primary = *value > 0.5;
+  }
+  return report;
+}
+
+class Connection {
+ public:
+  Connection(Stores& owner, int of, int fd) : stores(owner), store(of), socket(owner.scheduler_, fd) {}
+
+  enum class Seen { nothing, good, broken };
+
+  // Takes one message off the buffer; `broken` where the stream makes no sense.
+  Seen take(pg::Message& m) {
+    used = 0;
+    switch (pg::frame(in, kMostMessage, m)) {
+      case pg::Framed::whole:
+        used = m.whole.size();
+        return Seen::good;
+      case pg::Framed::partial:
+        return Seen::nothing;
+      default:
+        return Seen::broken;
+    }
+  }
+  void drop() { in.erase(0, used), used = 0; }
+
+  // The next message, in `in` until drop(); false where the connection ended or the time came first.
+  sched::Task<bool> next(pg::Message& m, TimePoint until) {
+    for (;;) {
+      Seen seen = take(m);
+      if (seen == Seen::good) co_return true;
+      if (seen == Seen::broken) {
+        garbled = true;
+        co_return false;
+      }
+      sched::Socket::Got got = socket.read(in, kMostMessage * 2);
+      if (got == sched::Socket::Got::some) continue;
+      if (got == sched::Socket::Got::ended) co_return false;
+      bool set = co_await socket.in.wait(until);
+      if (!set) {
+        late = true;
+        co_return false;
+      }
+    }
+  }
+
+  Stores& stores;
+  int store;
+  sched::Socket socket;
+  std::string in;
+  std::size_t used = 0;
+  Job* job = nullptr;
+  TimePoint idleSince{};
+  bool garbled = false, late = false;
+
+  void learn(std::string_view payload, Job& to);
+  sched::Task<bool> comeUp(TimePoint until);
+  sched::Task<bool> perform();
+};
+
+void Connection::learn(std::string_view payload, Job& to) {
+  auto name = pg::takeString(payload), value = pg::takeString(payload);
+  if (!name || !value) return;
+  if (*name == "server_role")
+    to.role = *value == "writer" ? Role::primary : *value == "reader" ? Role::replica : Role::unknown;
+  if (*name == "usage") to.report = readReport(*value);
+  if (*name == "commit_clock")
+    if (auto ms = numberIn(*value); ms && *ms > 0)
+      to.position = TimePoint{static_cast<std::int64_t>(*ms * 1000)};
+}
+
+sched::Task<bool> Connection::comeUp(TimePoint until) {
+  bool up = co_await sched::connected(socket, until);
+  if (!up) co_return false;
+  std::string hello = pg::startup("web", "orders");
+  bool sent = co_await sched::writeAll(socket, hello, until);
+  if (!sent) co_return false;
+  for (;;) {
+    pg::Message m;
+    bool got = co_await next(m, until);
+    if (!got) co_return false;
+    char type = m.type;
+    // Only 'authentication ok' is spoken here.
+    bool refused = type == 'E' || (type == 'R' && m.payload != std::string_view("\0\0\0\0", 4));
+    if (type == 'E') {
+      std::string code(pg::errorField(m.payload, 'C'));
+      log::line("store_refused", "store=%d code=%s", store, code.c_str());
+    }
+    bool known = type == 'R' || type == 'S' || type == 'K' || type == 'N' || type == 'Z';
+    drop();
+    if (refused || !known) co_return false;
+    if (type == 'Z') co_return true;
+  }
+}
+
+// Writes the job and reads its answer; false where the connection is of no more use. Sets the job's ending.
+sched::Task<bool> Connection::perform() {
+  Job& j = *job;
+  bool written = co_await sched::writeAll(socket, j.bytes, j.until);
+  j.bytes.clear();
+  j.bytes.shrink_to_fit();
+  if (!written) {
+    j.ending = Ending::connectFailed;
+    co_return false;
+  }
+  // Danger: from here on the store may have run it, whatever becomes of the connection.
+  int rows = 0;
+  bool described = false, complete = false, failed = false;
+  for (;;) {
+    pg::Message m;
+    bool got = co_await next(m, j.until);
+    if (!got) break;
+    bool sound = true;
+    switch (m.type) {
+      case 'T':
+        sound = !described && !failed;
+        described = true;
+        j.row.append(m.whole);
+        break;
+      case 'D':
+        sound = described && !complete && !failed && rows == 0 && pg::oneColumn(m.payload);
+        ++rows;
+        j.row.append(m.whole);
+        if (j.stmt < 0)
+          if (auto value = pg::firstColumn(m.payload)) j.value = *value;
+        break;
+      case 'C':
+        sound = rows == 1 && !complete && !failed;
+        complete = true;
+        j.row.append(m.whole);
+        break;
+      case 'E': {
+        std::string_view code = pg::errorField(m.payload, 'C');
+        failed = true;
+        if (code == "25006" || code == "72000")
+          j.ending = Ending::miss;
+        else if (code == "53300")
+          j.ending = Ending::full;
+        else
+          j.ending = Ending::error;
+        if (code != "25006" && code != "72000" && code != "53300" && code != "XX000" && j.stmt >= 0)
+          log::line("store_error", "store=%d code=%.5s", store, std::string(code).c_str());
+        break;
+      }
+      case 'S':
+        learn(m.payload, j);
+        break;
+      case 'N':
+        break;
+      case 'Z':
+        sound = complete != failed;
+        if (sound && complete) j.ending = Ending::ok;
+        drop();
+        if (!sound) j.ending = Ending::reset;
+        co_return sound;
+      default:
+        sound = false;
+    }
+    drop();
+    if (!sound) {
+      garbled = true;
+      break;
+    }
+  }
+  if (garbled) log::line("store_garbled", "store=%d", store);
+  if (failed) co_return false;  // its word stands, though the connection ended before it was ready again
+  j.ending = j.cancelled               ? Ending::cancelled
+             : complete && !garbled    ? Ending::ok
+             : late                    ? Ending::timeout
+                                       : Ending::reset;
+  co_return false;
+}
+
+// ---- the pools ----
+
+Stores::Stores(sched::Scheduler& s, Giver& giver, Limits limits)
+    : scheduler_(s), giver_(giver), limits_(limits) {}
+
+Stores::~Stores() = default;
+
+void Stores::place(int store, const sockaddr_in& address) {
+  if (static_cast<std::size_t>(store) >= pools_.size()) pools_.resize(static_cast<std::size_t>(store) + 1);
+  pools_[static_cast<std::size_t>(store)].address = address;
+}
+
+Job* Stores::give(std::unique_ptr<Job> job) {
+  Job* j = job.get();
+  jobs_.push_back(std::move(job));
+  Pool& pool = pools_[static_cast<std::size_t>(j->store)];
+  if (!pool.idle.empty()) {
+    Connection* c = pool.idle.back();
+    pool.idle.pop_back();
+    c->job = j, j->on = c;
+    c->socket.in.set();
+    return j;
+  }
+  pool.waiting.push_back(j);
+  // Danger: statements that start together would each open a connection; one for each that waits is enough.
+  if (pool.coming < static_cast<int>(pool.waiting.size())) openOne(j->store);
+  return j;
+}
+
+void Stores::cancel(Job* job) {
+  if (job->cancelled) return;
+  job->cancelled = true;
+  if (job->on) job->on->socket.close();
+  // One that waits for a connection is passed over when its turn comes.
+}
+
+void Stores::release(int store) {
+  if (static_cast<std::size_t>(store) >= pools_.size()) return;
+  for (Connection* c : pools_[static_cast<std::size_t>(store)].idle) c->socket.close();
+  pools_[static_cast<std::size_t>(store)].idle.clear();
+}
+
+bool Stores::closeLongestIdle() {
+  Pool* from = nullptr;
+  for (Pool& p : pools_)
+    if (!p.idle.empty() && (!from || p.idle.front()->idleSince < from->idle.front()->idleSince)) from = &p;
+  if (!from) return false;
+  from->idle.front()->socket.close();
+  from->idle.erase(from->idle.begin());
+  return true;
+}
+
+void Stores::openOne(int store) {
+  int fd = -1;
+  Pool& pool = pools_[static_cast<std::size_t>(store)];
+  // Danger: the process has only so many descriptors; the longest idle connection makes room.
+  if (connections_.size() < limits_.connections || closeLongestIdle())
+    fd = pool.address ? sched::startConnect(*pool.address) : -1;
+  else
+    log::line("stores_crowded", "connections=%zu", connections_.size());
+  auto c = std::make_unique<Connection>(*this, store, fd);
+  connections_.push_back(c.get());
+  ++pool.coming;
+  scheduler_.spawn(serve(std::move(c)));
+}
+
+// The next job for a connection; those that are not to be sent any more end on the way.
+Job* Stores::nextFor(int store) {
+  std::deque<Job*>& waiting = pools_[static_cast<std::size_t>(store)].waiting;
+  while (!waiting.empty()) {
+    Job* j = waiting.front();
+    waiting.pop_front();
+    bool due = j->until > scheduler_.now() && (!j->sendBy || *j->sendBy > scheduler_.now());
+    if (!j->cancelled && due && giver_.wanted(*j)) return j;
+    finish(j, Ending::moot);
+  }
+  return nullptr;
+}
+
+void Stores::failOldest(int store) {
+  if (Job* j = nextFor(store)) finish(j, Ending::connectFailed);
+}
+
+void Stores::finish(Job* job, Ending ending) {
+  job->ending = ending;
+  job->on = nullptr;
+  auto it = std::find_if(jobs_.begin(), jobs_.end(), [&](const auto& j) { return j.get() == job; });
+  std::unique_ptr<Job> kept = std::move(*it);
+  *it = std::move(jobs_.back());
+  jobs_.pop_back();
+  giver_.ended(*kept);
+}
+
+sched::Task<> Stores::serve(std::unique_ptr<Connection> c) {
+  Connection& conn = *c;
+  int store = conn.store;
+  bool up = co_await conn.comeUp(scheduler_.now() + limits_.connectTimeout);
+  --pools_[static_cast<std::size_t>(store)].coming;
+  if (!up) failOldest(store);
+  while (up && conn.socket.open()) {
+    if (!conn.job) {
+      conn.job = nextFor(store);
+      if (conn.job) conn.job->on = &conn;
+    }
+    if (!conn.job) {
+      conn.idleSince = scheduler_.now();
+      pools_[static_cast<std::size_t>(store)].idle.push_back(&conn);
+      // Danger: the store's machine closes what has been idle for the stated time; a job that is written just
+      // then is lost. A connection is given up a connect time-out earlier.
+      TimePoint until = conn.idleSince + limits_.keepalive - limits_.connectTimeout;
+      bool alive = true;
+      while (alive && !conn.job) {
+        bool set = co_await conn.socket.in.wait(until);
+        if (conn.job) break;
+        alive = set && conn.socket.read(conn.in, kMostStartup) != sched::Socket::Got::ended;
+        pg::Message m;
+        while (alive && conn.take(m) == Connection::Seen::good) {
+          alive = m.type == 'S' || m.type == 'N';  // anything else was not asked for
+          conn.drop();
+        }
+      }
+      if (!conn.job) std::erase(pools_[static_cast<std::size_t>(store)].idle, &conn);
+      if (!alive) break;
+    }
+    // What the store sent or ended while the connection was idle shows before the job is written.
+    if (conn.socket.read(conn.in, kMostStartup) == sched::Socket::Got::ended) {
+      if (conn.job->cancelled) break;
+      Job* j = conn.job;
+      conn.job = nullptr, j->on = nullptr;
+      pools_[static_cast<std::size_t>(store)].waiting.push_front(j);
+      openOne(store);
+      break;
+    }
+    Job* j = conn.job;
+    if (j->cancelled || !giver_.wanted(*j)) {
+      conn.job = nullptr;
+      finish(j, Ending::moot);
+      continue;
+    }
+    bool sound = co_await conn.perform();
+    conn.job = nullptr;
+    finish(j, j->ending);
+    if (!sound) break;
+  }
+  if (conn.job) finish(std::exchange(conn.job, nullptr), Ending::moot);
+  // Jobs that counted on this connection to become free need another.
+  std::erase(connections_, &conn);
+  conn.socket.close();
+  Pool& pool = pools_[static_cast<std::size_t>(store)];
+  if (pool.coming < static_cast<int>(pool.waiting.size())) openOne(store);
+}
+
+}  // namespace reedchute::peers
--- /dev/null
+++ b/src/peers/stores.h
@@ -0,0 +1,92 @@
+// The stores: their connections, one coroutine each, and the jobs that travel on them, one at a time.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "pg/messages.h"
+#include "rules.h"
+#include "sched/socket.h"
+
+namespace reedchute::peers {
+
+class Connection;
+
+// One message to a store and what came of it: an execution of a statement, or a probe.
+struct Job {
+  int stmt = -1;  // -1: a probe
+  int execution = -1;
+  int store = -1;
+  std::string bytes;
+  TimePoint begun, until;
+  std::optional<TimePoint> sendBy;  // not sent at all later than this
+  Connection* on = nullptr;
+  bool cancelled = false;
+  // what came back
+  Ending ending = Ending::moot;
+  std::string row;      // RowDescription, DataRow and CommandComplete as they came
+  std::string value;    // a probe's: the column's text
+  Role role = Role::unknown;
+  std::optional<TimePoint> position;
+  Report report;
+};
+
+// Whoever gave out the jobs.
+class Giver {
+ public:
+  virtual ~Giver() = default;
+  virtual bool wanted(const Job& job) const = 0;  // is it still to be sent?
+  virtual void ended(Job& job) = 0;               // exactly once a job
+};
+
+class Stores {
+ public:
+  struct Limits {
+    Span connectTimeout, keepalive;
+    std::size_t connections = 0;  // of all stores together
+  };
+
+  Stores(sched::Scheduler& s, Giver& giver, Limits limits);
+  ~Stores();
+
+  // Where a store is reached; a new address holds for connections made from then on.
+  void place(int store, const sockaddr_in& address);
+  Job* give(std::unique_ptr<Job> job);
+  // Stops waiting: ends its connection if it was written to one.
+  void cancel(Job* job);
+  // Closes the idle connections of one store.
+  void release(int store);
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  friend class Connection;
+
+  struct Pool {
+    std::optional<sockaddr_in> address;
+    std::vector<Connection*> idle;  // the one used last at the end
+    std::deque<Job*> waiting;
+    int coming = 0;  // connections being made
+  };
+
+  void openOne(int store);
+  bool closeLongestIdle();
+  Job* nextFor(int store);
+  void finish(Job* job, Ending ending);
+  void failOldest(int store);
+  sched::Task<> serve(std::unique_ptr<Connection> c);
+
+  sched::Scheduler& scheduler_;
+  Giver& giver_;
+  Limits limits_;
+  std::vector<Pool> pools_;
+  std::vector<Connection*> connections_;
+  std::vector<std::unique_ptr<Job>> jobs_;
+};
+
+// name=value pairs set apart by commas, as reports come.
+Report readReport(std::string_view text);
+
+}  // namespace reedchute::peers
--- /dev/null
+++ b/src/sched/scheduler.h
@@ -0,0 +1,126 @@
+// One thread's scheduler: coroutines over epoll, timers, and rounds. A round is all that one epoll pass
+// brought; every coroutine that it wakes runs before the round's end is called.
+#pragma once
+
+#include <coroutine>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+#include "sched/task.h"
+
+namespace reedchute::sched {
+
+class Descriptor;
+class Event;
+
+class Scheduler {
+ public:
+  Scheduler();
+  ~Scheduler();
+  Scheduler(const Scheduler&) = delete;
+  Scheduler& operator=(const Scheduler&) = delete;
+
+  // The time of this round: Unix time in microseconds, never earlier than that of the last.
+  TimePoint now() const { return now_; }
+
+  // Starts a coroutine that nobody awaits, after the caller gives up the thread.
+  void spawn(Task<> task);
+
+  // Runs rounds until stop(). `roundEnds` is called once a round, after all that the round woke has run.
+  void run(const std::function<void()>& roundEnds);
+  void stop() { stopped_ = true; }
+  // The next round begins at once, whatever else comes.
+  void again() { again_ = true; }
+  // One round that waits no longer than until then.
+  void pass(TimePoint until, const std::function<void()>& roundEnds);
+
+ private:
+  friend class Event;
+  friend class Descriptor;
+
+  struct Root;
+  using Timers = std::map<std::pair<TimePoint, std::uint64_t>, Event*>;
+
+  void readClock();
+  void wait(TimePoint until);
+  void fireTimers();
+  void runReady();
+  Root runRoot(Task<> task);
+
+  int epoll_ = -1;
+  TimePoint now_;
+  bool stopped_ = false, again_ = false, coarse_ = false;
+  std::deque<std::coroutine_handle<>> ready_;
+  Timers timers_;
+  std::uint64_t timerSeq_ = 0;
+  std::unordered_set<void*> roots_;
+  // Danger: a descriptor may be closed and its number used again while events of the old one are still in
+  // hand; they carry the place's generation, which has moved on.
+  struct Place {
+    Descriptor* descriptor = nullptr;
+    std::uint32_t generation = 0;
+  };
+  std::vector<Place> places_;
+  std::vector<std::uint32_t> freePlaces_;
+};
+
+// What one coroutine waits for. Set while nobody waits, it is kept for the next who does.
+class Event {
+ public:
+  explicit Event(Scheduler& s) : scheduler_(s) {}
+  ~Event();
+  Event(const Event&) = delete;
+  Event& operator=(const Event&) = delete;
+
+  void set();
+
+  // co_await event.wait(until): true when it was set, false when the time came first.
+  struct Wait {
+    Event& event;
+    TimePoint until;
+    bool await_ready();
+    void await_suspend(std::coroutine_handle<> h);
+    bool await_resume() {
+      event.queued_ = {};
+      return !event.timedOut_;
+    }
+  };
+  Wait wait(TimePoint until = kForever) { return {*this, until}; }
+
+ private:
+  friend class Scheduler;
+  void wake(bool timedOut);
+
+  Scheduler& scheduler_;
+  std::coroutine_handle<> waiter_, queued_;
+  bool set_ = false, timedOut_ = false, armed_ = false;
+  Scheduler::Timers::iterator timer_;
+};
+
+// Owns a non-blocking file descriptor; its events are set at each edge and when it is closed here.
+class Descriptor {
+ public:
+  Descriptor(Scheduler& s, int fd);
+  ~Descriptor() { close(); }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+
+  int fd() const { return fd_; }
+  bool open() const { return fd_ >= 0; }
+  void close();
+
+  Event in, out;
+
+ private:
+  Scheduler& scheduler_;
+  int fd_;
+  std::uint32_t place_ = 0;
+};
+
+}  // namespace reedchute::sched
--- /dev/null
+++ b/src/sched/socket.cpp
@@ -0,0 +1,148 @@
+#include "sched/socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <stdexcept>
+
+namespace reedchute::sched {
+namespace {
+
+constexpr std::size_t kReadStep = 16 * 1024;
+constexpr int kBacklog = 4096;
+
+void noDelay(int fd) {
+  int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+std::optional<sockaddr_in> parseAddress(std::string_view text) {
+  std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  std::string host(text.substr(0, colon));
+  std::string_view port = text.substr(colon + 1);
+  std::uint16_t number = 0;
+  auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), number);
+  if (error != std::errc{} || end != port.data() + port.size() || number == 0) return std::nullopt;
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons(number);
+  if (inet_pton(AF_INET, host.c_str(), &a.sin_addr) != 1) return std::nullopt;
+  return a;
+}
+
+int listenOn(const sockaddr_in& address) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int on = 1;
+  if (fd >= 0) setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (fd < 0 || bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) < 0 ||
+      listen(fd, kBacklog) < 0) {
+    int why = errno;
+    if (fd >= 0) close(fd);
+    throw std::runtime_error(std::string("can't listen: ") + std::strerror(why));
+  }
+  return fd;
+}
+
+int acceptOn(int listener, bool& full) {
+  full = false;
+  for (;;) {
+    int fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      noDelay(fd);
+      return fd;
+    }
+    if (errno == EINTR || errno == ECONNABORTED) continue;
+    full = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+    return -1;
+  }
+}
+
+Socket::Got Socket::read(std::string& into, std::size_t most) {
+  bool some = false;
+  while (open() && into.size() < most) {
+    std::size_t had = into.size(), step = std::min(kReadStep, most - had);
+    into.resize(had + step);
+    ssize_t n = recv(fd(), into.data() + had, step, 0);
+    int why = errno;
+    into.resize(had + static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+    if (n > 0) {
+      some = true;
+      if (static_cast<std::size_t>(n) < step) return Got::some;
+    } else if (n < 0 && why == EINTR) {
+      continue;
+    } else if (n < 0 && (why == EAGAIN || why == EWOULDBLOCK)) {
+      return some ? Got::some : Got::nothing;
+    } else {
+      return some ? Got::some : Got::ended;
+    }
+  }
+  return some ? Got::some : open() ? Got::nothing : Got::ended;
+}
+
+std::optional<std::string_view> Socket::write(std::string_view bytes) {
+  while (open() && !bytes.empty()) {
+    ssize_t n = send(fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (n > 0) {
+      bytes.remove_prefix(static_cast<std::size_t>(n));
+    } else if (n < 0 && errno == EINTR) {
+      continue;
+    } else if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      return bytes;
+    } else {
+      return std::nullopt;
+    }
+  }
+  if (!open()) return std::nullopt;
+  return bytes;
+}
+
+void Socket::endWriting() {
+  if (open()) shutdown(fd(), SHUT_WR);
+}
+
+Task<bool> writeAll(Socket& s, std::string_view bytes, TimePoint until) {
+  for (;;) {
+    std::optional<std::string_view> rest = s.write(bytes);
+    if (!rest) co_return false;
+    if (rest->empty()) co_return true;
+    bytes = *rest;
+    bool ready = co_await s.out.wait(until);
+    if (!ready) co_return false;
+  }
+}
+
+int startConnect(const sockaddr_in& to) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return -1;
+  noDelay(fd);
+  if (connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) < 0 && errno != EINPROGRESS) {
+    close(fd);
+    return -1;
+  }
+  return fd;
+}
+
+Task<bool> connected(Socket& s, TimePoint until) {
+  for (;;) {
+    bool ready = co_await s.out.wait(until);
+    if (!ready || !s.open()) co_return false;
+    int error = 0;
+    socklen_t length = sizeof error;
+    if (getsockopt(s.fd(), SOL_SOCKET, SO_ERROR, &error, &length) < 0 || error != 0) co_return false;
+    // Danger: the first edge may come while the socket is not connected yet.
+    sockaddr_in peer{};
+    length = sizeof peer;
+    if (getpeername(s.fd(), reinterpret_cast<sockaddr*>(&peer), &length) == 0) co_return true;
+  }
+}
+
+}  // namespace reedchute::sched
--- /dev/null
+++ b/src/sched/socket.h
@@ -0,0 +1,45 @@
+// TCP sockets for coroutines: nothing here blocks but a co_await.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "sched/scheduler.h"
+
+namespace reedchute::sched {
+
+// "127.0.0.1:5432"; nothing where it is no IPv4 address with a port.
+std::optional<sockaddr_in> parseAddress(std::string_view text);
+
+// A listening descriptor. Throws std::runtime_error, naming the address, where it can't be had.
+int listenOn(const sockaddr_in& address);
+
+// The next connection that waits to be accepted, or -1; `full` tells that the process has no descriptor left.
+int acceptOn(int listener, bool& full);
+
+class Socket : public Descriptor {
+ public:
+  using Descriptor::Descriptor;
+
+  enum class Got { some, nothing, ended };
+  // Appends what has come to `into`, at most until it holds `most` bytes.
+  Got read(std::string& into, std::size_t most);
+  // Writes what the kernel takes now and returns the rest; nothing once the connection is broken.
+  std::optional<std::string_view> write(std::string_view bytes);
+  // Ends the sending side only.
+  void endWriting();
+};
+
+// Writes all; false where the connection broke or the time came before the kernel had taken the last byte.
+Task<bool> writeAll(Socket& s, std::string_view bytes, TimePoint until);
+
+// Starts a connection; the descriptor, or -1.
+int startConnect(const sockaddr_in& to);
+
+// Waits for a started connection; false where it was refused or the time came first.
+Task<bool> connected(Socket& s, TimePoint until);
+
+}  // namespace reedchute::sched
--- /dev/null
+++ b/src/stages/admit.h
@@ -0,0 +1,22 @@
+// Stage 2, admit: gives a statement its index and tells the module of it.
+#pragma once
+
+#include "stages/book.h"
+#include "stages/take_in.h"
+
+namespace reedchute::stages {
+
+class Admit {
+ public:
+  Admit(Rules& rules, Book& book) : rules_(rules), book_(book) {}
+
+  int admit(Taken taken, Asker& asker, TimePoint now);
+  // Its client has left: nothing is sent or answered for it any more.
+  void withdraw(int stmt);
+
+ private:
+  Rules& rules_;
+  Book& book_;
+};
+
+}  // namespace reedchute::stages
--- /dev/null
+++ b/src/stages/book.cpp
@@ -0,0 +1,83 @@
+#include "stages/book.h"
+
+#include <utility>
+
+namespace reedchute::stages {
+
+int Book::enter(Statement st) {
+  int stmt;
+  if (free_.empty()) {
+    stmt = static_cast<int>(rows_.size());
+    rows_.emplace_back();
+  } else {
+    stmt = free_.back();
+    free_.pop_back();
+  }
+  row(stmt) = std::move(st);
+  ++open_;
+  touch();
+  return stmt;
+}
+
+void Book::touch() {
+  touched_ = true;
+  scheduler_.again();
+}
+
+void Book::close(int stmt) {
+  Statement& st = row(stmt);
+  if (!st.open) return;
+  st.open = false;
+  st.asker = nullptr;
+  --open_;
+  offer(stmt);
+}
+
+void Book::offer(int stmt) {
+  if (!row(stmt).open && row(stmt).out == 0) leaving_.push_back(stmt);
+}
+
+// Danger: a row that is used again within the round would mix two statements' facts in the module.
+void Book::roundEnded() {
+  touched_ = false;
+  for (int stmt : leaving_) {
+    row(stmt) = {};
+    free_.push_back(stmt);
+  }
+  leaving_.clear();
+}
+
+bool Book::wanted(const peers::Job& job) const {
+  return job.stmt < 0 || rows_[static_cast<std::size_t>(job.stmt)].open;
+}
+
+void Book::ended(peers::Job& job) {
+  touch();
+  TimePoint now = scheduler_.now();
+  if (job.stmt < 0) {
+    bool ok = job.ending == Ending::ok;
+    rules_.probed(job.store, ok, ok ? peers::readReport(job.value) : Report{}, now);
+    return;
+  }
+  Statement& st = row(job.stmt);
+  st.jobs[static_cast<std::size_t>(job.execution)] = nullptr;
+  --st.out;
+  bool completes = st.open && job.ending == Ending::ok;
+  Result r;
+  r.execution = job.execution;
+  r.ending = job.ending;
+  r.role = job.role;
+  r.position = job.position;
+  r.report = job.report;
+  r.took = now - job.begun;
+  r.closed = completes || !st.open;
+  rules_.resolved(job.stmt, r, now);
+  if (completes) {
+    relay_.completed(*st.asker, std::move(job.row));
+    close(job.stmt);
+  } else {
+    offer(job.stmt);
+  }
+}
+
+}  // namespace reedchute::stages
--- /dev/null
+++ b/src/stages/book.h
@@ -0,0 +1,45 @@
+// Stage 6, book: the rows of statements, and what the module is told of the end of each execution and probe.
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "peers/stores.h"
+#include "rules.h"
+#include "sched/scheduler.h"
+#include "stages/relay.h"
+#include "stages/statement.h"
+
+namespace reedchute::stages {
+
+class Book : public peers::Giver {
+ public:
+  Book(sched::Scheduler& s, Rules& rules, Relay& relay) : scheduler_(s), rules_(rules), relay_(relay) {}
+
+  int enter(Statement st);
+  Statement& row(int stmt) { return rows_[static_cast<std::size_t>(stmt)]; }
+  // It has its final answer, or nobody to give it to; its row is free once nothing is out.
+  void close(int stmt);
+  // Rows whose last fact the module has seen in a round can be used again.
+  void roundEnded();
+  std::size_t openCount() const { return open_; }
+  // Has the module been told anything since the last round?
+  bool touched() const { return touched_; }
+  void touch();
+
+  bool wanted(const peers::Job& job) const override;
+  void ended(peers::Job& job) override;
+
+ private:
+  void offer(int stmt);
+
+  sched::Scheduler& scheduler_;
+  Rules& rules_;
+  Relay& relay_;
+  std::vector<Statement> rows_;
+  std::vector<int> free_, leaving_;
+  std::size_t open_ = 0;
+  bool touched_ = false;
+};
+
+}  // namespace reedchute::stages
--- /dev/null
+++ b/src/stages/send.cpp
@@ -0,0 +1,43 @@
+#include "stages/send.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "pg/messages.h"
+#include "pg/statement.h"
+
+namespace reedchute::stages {
+
+void Send::execution(int stmt, int store, TimePoint stopAt) {
+  Statement& st = book_.row(stmt);
+  TimePoint now = scheduler_.now();
+  auto job = std::make_unique<peers::Job>();
+  job->stmt = stmt;
+  job->execution = static_cast<int>(st.jobs.size());
+  job->store = store;
+  job->begun = now;
+  job->until = stopAt;
+  std::int64_t left = std::max<std::int64_t>(0, (stopAt - now).us / 1000);
+  job->bytes = pg::query(pg::withWait(st.text, st.waitAt, st.waitSize, left));
+  ++st.out;
+  st.jobs.push_back(nullptr);
+  st.jobs.back() = stores_.give(std::move(job));
+}
+
+void Send::cancel(int stmt, int execution) {
+  Statement& st = book_.row(stmt);
+  if (static_cast<std::size_t>(execution) >= st.jobs.size()) return;
+  if (peers::Job* job = st.jobs[static_cast<std::size_t>(execution)]) stores_.cancel(job);
+}
+
+void Send::probe(int store) {
+  auto job = std::make_unique<peers::Job>();
+  job->store = store;
+  job->begun = scheduler_.now();
+  job->until = job->begun + probeTimeout_;
+  job->bytes = pg::query("SHOW usage");
+  stores_.give(std::move(job));
+}
+
+}  // namespace reedchute::stages
--- /dev/null
+++ b/src/stages/send.h
@@ -0,0 +1,25 @@
+// Stage 4, send: an execution or a probe becomes a job for a store.
+#pragma once
+
+#include "peers/stores.h"
+#include "stages/book.h"
+
+namespace reedchute::stages {
+
+class Send {
+ public:
+  Send(sched::Scheduler& s, Book& book, peers::Stores& stores, Span probeTimeout)
+      : scheduler_(s), book_(book), stores_(stores), probeTimeout_(probeTimeout) {}
+
+  void execution(int stmt, int store, TimePoint stopAt);
+  void cancel(int stmt, int execution);
+  void probe(int store);
+
+ private:
+  sched::Scheduler& scheduler_;
+  Book& book_;
+  peers::Stores& stores_;
+  Span probeTimeout_;
+};
+
+}  // namespace reedchute::stages
--- /dev/null
+++ b/src/stages/take_in.cpp
@@ -0,0 +1,65 @@
+#include "stages/take_in.h"
+
+#include <charconv>
+
+#include "log/log.h"
+#include "pg/messages.h"
+#include "pg/statement.h"
+
+namespace reedchute::stages {
+namespace {
+
+constexpr std::size_t kMostText = 64 * 1024 * 2 + 4096;  // a value of 64 KiB in hex digits, and the rest
+constexpr std::int64_t kLongestWaitMs = 86'400'000;
+
+std::string refusal(std::string_view code, std::string_view text) {
+  log::line("bad_statement", "code=%s what=\"%s\"", std::string(code).c_str(), std::string(text).c_str());
+  return pg::error(false, code, text) + pg::ready();
+}
+
+// A session's key: its hex digits as a number, or a hash of whatever else it is.
+std::uint64_t sessionOf(std::string_view key) {
+  std::uint64_t value = 0;
+  auto [end, error] = std::from_chars(key.data(), key.data() + key.size(), value, 16);
+  if (!key.empty() && error == std::errc{} && end == key.data() + key.size()) return value;
+  value = 14695981039346656037ULL;
+  for (char c : key) value = (value ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+  return value;
+}
+
+}  // namespace
+
+std::optional<std::string> TakeIn::read(std::string_view text, TimePoint now, Taken& taken) const {
+  if (text.size() > kMostText) return refusal("54000", "the statement is too long");
+  if (text.find('\0') != std::string_view::npos) return refusal("22021", "a zero byte in the statement");
+  pg::Fields f;
+  switch (pg::readStatement(text, f)) {
+    case pg::Read::good:
+      break;
+    case pg::Read::empty:
+      return pg::emptyQuery() + pg::ready();
+    case pg::Read::several:
+      return refusal("42601", "several statements in one query");
+    case pg::Read::unclosed:
+      return refusal("42601", "a literal or comment without its end");
+    case pg::Read::noFields:
+      return refusal("42601", "the comment with id, c, d and cluster is missing");
+    case pg::Read::badField:
+      return refusal("22023", "a field of the comment can't be read");
+  }
+  Arrival& a = taken.arrival;
+  a.workload = placeOf(names_.workloads, f.workload);
+  if (a.workload < 0) return refusal("22023", "an unknown workload");
+  a.group = groups_.find(*f.group);
+  if (a.group < 0) return refusal("22023", "an unknown group");
+  if (*f.waitMs > kLongestWaitMs) return refusal("22023", "a wait that makes no sense");
+  a.giveUpAt = now + Span{*f.waitMs * 1000};
+  a.session = sessionOf(f.key);
+  a.repeated = f.repeated;
+  if (f.afterMs) a.sinceWrite = now - TimePoint{*f.afterMs * 1000};
+  taken.statement.text = text;
+  taken.statement.waitAt = f.waitAt, taken.statement.waitSize = f.waitSize;
+  return std::nullopt;
+}
+
+}  // namespace reedchute::stages
--- /dev/null
+++ b/src/terms/params.cpp
@@ -0,0 +1,111 @@
+#include "terms/params.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace reedchute {
+namespace {
+
+std::string plain(const json::Value& v) {
+  using Kind = json::Value::Kind;
+  switch (v.kind) {
+    case Kind::boolean:
+      return v.truth ? "true" : "false";
+    case Kind::number:
+    case Kind::text:
+      return v.text;
+    default:
+      return "-";
+  }
+}
+
+}  // namespace
+
+void badValue(const char* what, std::string_view text) {
+  throw Malformed(std::string("bad value for ") + what + ": '" + std::string(text.substr(0, 60)) + "'");
+}
+
+double numberFrom(std::string_view text, const char* what) {
+  double value{};
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) badValue(what, text);
+  return value;
+}
+
+std::int64_t integerFrom(std::string_view text, const char* what) {
+  std::int64_t value{};
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size()) badValue(what, text);
+  return value;
+}
+
+void Params::add(std::string_view pair) {
+  std::size_t equals = pair.find('=');
+  if (equals == std::string_view::npos || equals == 0) badValue("params", pair);
+  set(std::string(pair.substr(0, equals)), std::string(pair.substr(equals + 1)));
+}
+
+void Params::add(const std::string& path, const json::Value& value) {
+  using Kind = json::Value::Kind;
+  if (value.kind == Kind::object) {
+    for (const auto& [name, member] : value.members) add(path.empty() ? name : path + "." + name, member);
+  } else if (value.kind == Kind::list && !value.items.empty() && value.items[0].kind == Kind::object) {
+    set(path + ".count", std::to_string(value.items.size()));
+    for (std::size_t k = 0; k < value.items.size(); ++k) add(path + "." + std::to_string(k), value.items[k]);
+  } else if (value.kind == Kind::list) {
+    std::string joined;
+    for (const json::Value& item : value.items) joined += (joined.empty() ? "" : ",") + plain(item);
+    set(path, std::move(joined));
+  } else {
+    set(path, plain(value));
+  }
+}
+
+const std::string* Params::find(const std::string& path) const {
+  auto it = values_.find(path);
+  return it == values_.end() || it->second == "-" ? nullptr : &it->second;
+}
+
+const std::string& Params::need(const std::string& path) const {
+  const std::string* value = find(path);
+  if (!value || value->empty()) throw Malformed("the setting " + path + " is missing");
+  return *value;
+}
+
+double Params::number(const std::string& path) const { return numberFrom(need(path), path.c_str()); }
+
+double Params::number(const std::string& path, double otherwise) const {
+  return find(path) ? number(path) : otherwise;
+}
+
+std::int64_t Params::integer(const std::string& path) const {
+  auto value = integerFrom(need(path), path.c_str());
+  if (value < -INT64_MAX / 8 || value > INT64_MAX / 8) badValue(path.c_str(), need(path));
+  return value;
+}
+
+std::int64_t Params::integer(const std::string& path, std::int64_t otherwise) const {
+  return find(path) ? integer(path) : otherwise;
+}
+
+bool Params::boolean(const std::string& path, bool otherwise) const {
+  const std::string* value = find(path);
+  if (!value) return otherwise;
+  if (*value == "true" || *value == "1") return true;
+  if (*value == "false" || *value == "0") return false;
+  badValue(path.c_str(), *value);
+}
+
+std::vector<std::string> Params::list(const std::string& path) const {
+  std::vector<std::string> items;
+  const std::string* value = find(path);
+  if (!value || value->empty()) return items;
+  for (std::string_view text = *value;;) {
+    std::size_t comma = text.find(',');
+    items.emplace_back(text.substr(0, comma));
+    if (comma == std::string_view::npos) return items;
+    text.remove_prefix(comma + 1);
+  }
+}
+
+}  // namespace reedchute
--- /dev/null
+++ b/src/terms/terms.h
@@ -0,0 +1,35 @@
+// From the platform's settings to the module's Terms, for the simulator's adapter and the front alike.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "rules.h"
+#include "terms/params.h"
+
+namespace reedchute {
+
+// Words from outside and what they stand for here.
+template <class T>
+using Words = std::vector<std::pair<std::string_view, T>>;
+
+template <class T>
+T meaning(const Words<T>& words, std::string_view word, const char* what) {
+  for (const auto& [name, value] : words)
+    if (name == word) return value;
+  throw Malformed(std::string("unknown ") + what + ": '" + std::string(word.substr(0, 60)) + "'");
+}
+
+// Names that the settings list; an index into a list is what the module knows.
+struct Names {
+  std::vector<std::string> workloads, tenants, zones;
+};
+
+int placeOf(const std::vector<std::string>& names, std::string_view name);
+
+Terms termsFrom(const Params& p, std::uint64_t seed, Names& names);
+
+}  // namespace reedchute
--- a/src/wire/adapter.cpp
+++ b/src/wire/adapter.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/index.h"
+#include "terms/terms.h"
 
 namespace reedchute::wire {
 namespace {
@@ -11,27 +12,8 @@
 constexpr int kSheets = 16;
 constexpr std::int64_t kLongestSleep = 71LL * 60 * 1'000'000;
 
-// The wire's words and what they stand for here.
-template <class T>
-using Words = std::vector<std::pair<std::string_view, T>>;
-
-const Words<Level> kLevels = {{"eventual", Level::any},
-                              {"lag_bound", Level::bounded},
-                              {"causal", Level::session},
-                              {"strong", Level::fresh},
-                              {"mutate", Level::write}};
-const Words<Effect> kEffects = {
-    {"repeatable", Effect::idempotent}, {"by_key", Effect::deduplicated}, {"once", Effect::nonIdempotent}};
-const Words<Scope> kScopes = {{"all", Scope::everywhere}, {"zone", Scope::zone}, {"cell", Scope::group}};
 const Words<Listed> kStates = {{"U", Listed::up}, {"L", Listed::draining}, {"D", Listed::gone}};
 
-template <class T>
-T meaning(const Words<T>& words, const std::string& word, const char* what) {
-  for (const auto& [name, value] : words)
-    if (name == word) return value;
-  throw Malformed(std::string("unknown ") + what + ": '" + word + "'");
-}
-
 Ending endingOf(std::int64_t code) {
   switch (code) {
     case 200:
@@ -57,18 +39,14 @@
   }
 }
 
-int placeOf(const std::vector<std::string>& names, std::string_view name) {
-  auto it = std::find(names.begin(), names.end(), name);
-  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
-}
-
 }  // namespace
 
 // One instance: its module, and the maps from the wire's ids to indices.
 class Instance : public Writer {
  public:
   Instance(int number, const Params& p, std::uint64_t seed, TimePoint now) : number_(number) {
-    rules_ = std::make_unique<Rules>(termsFrom(p, seed), now);
+    origin = TimePoint{p.integer("extra.origin_time")};
+    rules_ = std::make_unique<Rules>(termsFrom(p, seed, names), now);
   }
 
   void send(int stmt, int store, TimePoint stopAt) override {
@@ -133,12 +111,10 @@
   Index<std::string> stores;
   Index<std::uint64_t> stmts;
   Index<std::int64_t> groups;
-  std::vector<std::string> workloads, tenants, zones;
+  Names names;
   TimePoint origin;
 
  private:
-  Terms termsFrom(const Params& p, std::uint64_t seed);
-
   Instance& begin(const char* name) {
     reply_->append(name).append("\t").append(std::to_string(number_));
     return *this;
@@ -161,61 +137,6 @@
   std::vector<int> closed_;
 };
 
-Terms Instance::termsFrom(const Params& p, std::uint64_t seed) {
-  Terms t;
-  t.seed = seed;
-  origin = TimePoint{p.integer("extra.origin_time")};
-  t.fronts = static_cast<int>(p.integer("siblings", 1));
-  t.tick = Span{p.integer("tick")};
-  zones = p.list("failure_domains");
-  std::vector<std::string> levels = p.list("extra.read_level"), bounds = p.list("extra.lag_allowed");
-  std::int64_t count = p.integer("classes.count");
-  if (count < 1 || count > 10'000 || levels.size() != static_cast<std::size_t>(count))
-    throw Malformed("extra.read_level must name a level for each of the classes");
-  for (std::size_t k = 0; k < static_cast<std::size_t>(count); ++k) {
-    std::string at = "classes." + std::to_string(k) + ".";
-    workloads.push_back(p.need(at + "name"));
-    Workload w;
-    w.level = meaning(kLevels, levels[k], "extra.read_level");
-    if (k < bounds.size())
-      w.bound = Span{static_cast<std::int64_t>(wire::number(bounds[k], "extra.lag_allowed"))};
-    w.effect = meaning(kEffects, p.need(at + "repeat"), "classes[].repeat");
-    if (w.effect == Effect::deduplicated) {
-      w.scope = meaning(kScopes, p.need(at + "key_scope"), "classes[].key_scope");
-      w.window = Span{p.integer(at + "repeat_window")};
-    }
-    w.slo = Span{p.integer(at + "slo")};
-    w.importance = p.number(at + "worth", 1);
-    w.lateShare = p.number(at + "late_worth", 0);
-    t.workloads.push_back(w);
-  }
-  for (std::int64_t k = 0, n = p.integer("realms.count", 0); k < n; ++k) {
-    std::string at = "realms." + std::to_string(k) + ".";
-    tenants.push_back(p.need(at + "name"));
-    t.tenants.push_back({p.number(at + "quota_per_s", 0)});
-  }
-  t.overShareWorth = p.number("over_share_worth", 1);
-  t.maxExecutions = static_cast<int>(p.integer("limits.max_attempts", 1));
-  t.secondCopies = p.boolean("limits.parallel_tries", false);
-  t.mayCancel = p.boolean("limits.may_cancel", false);
-  t.mayProbe = p.boolean("limits.probes", false);
-  t.probePrice = p.number("prices.probe", 0);
-  t.mustAsk = p.need("membership_mode") == "subscribe";
-  t.goneBinds = !p.boolean("obligations.dropped_stay_open", false);
-  t.roleFollows = p.find("extra.role_in_list") && *p.find("extra.role_in_list") == "trailing";
-  t.storesCheck = p.find("extra.checks") && *p.find("extra.checks") != "none";
-  t.tokensCarried = !p.find("extra.tokens") || *p.find("extra.tokens") == "brought";
-  t.namesComeBack = p.boolean("limits.retry_after", false);
-  t.maxComeBack = Span{p.integer("limits.max_retry_after", 0)};
-  t.connectTimeout = Span{p.integer("limits.connect_timeout")};
-  t.askEvery = Span{p.integer("obligations.ask_every")};
-  t.coldRamp = Span{p.integer("obligations.ramp_time")};
-  t.coldWindow = Span{p.integer("obligations.tip_after")};
-  t.coldFrom = p.number("obligations.cold_from");
-  t.coldMultiple = p.number("obligations.fall_multiple");
-  return t;
-}
-
 Adapter::Adapter() : sheets_(kSheets), sheetKnown_(kSheets, 0) {}
 Adapter::~Adapter() = default;
 
@@ -356,7 +277,7 @@
     Entry entry;
     entry.store = in.stores.add(e.store);
     entry.group = in.groups.add(e.group);
-    entry.zone = placeOf(in.zones, e.zone);
+    entry.zone = placeOf(in.names.zones, e.zone);
     entry.listed = e.listed;
     entry.primary = e.primary;
     entry.weight = e.weight;
@@ -376,12 +297,12 @@
   line_.maybeNumber(3, "expected");
   if (auto ms = line_.maybeNumber(4, "last_write_ms"))
     a.sinceWrite = Span{static_cast<std::int64_t>(*ms * 1000)};
-  a.workload = placeOf(in.workloads, line_.raw(5));
+  a.workload = placeOf(in.names.workloads, line_.raw(5));
   if (a.workload < 0) throw Malformed("unknown lane '" + std::string(line_.raw(5)) + "'");
   a.repeated = line_.maybeInteger(6, "bitmap").value_or(0) & 2;
   a.giveUpAt = TimePoint{line_.integer(7, "give_up_at")};
   a.session = line_.hex(8, "session");
-  a.tenant = placeOf(in.tenants, line_.raw(9));
+  a.tenant = placeOf(in.names.tenants, line_.raw(9));
   a.group = in.groups.add(line_.integer(10, "group_no", INT32_MIN, INT32_MAX));
   int stmt = in.stmts.add(id);
   in.open(stmt);
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -3,19 +3,14 @@
 
 #include <cstdint>
 #include <istream>
-#include <map>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace reedchute::wire {
+#include "terms/params.h"
 
-// What is wrong with a line; ends the program with one plain line.
-struct Malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+namespace reedchute::wire {
 
 // One line, split at its tabs. Every reader throws Malformed, naming the field.
 class Line {
@@ -42,23 +37,4 @@
   std::vector<std::string_view> fields_;
 };
 
-double number(std::string_view text, const char* what);
-
-// The settings of a start line, path=value; unknown ones stay unread.
-class Params {
- public:
-  void add(std::string_view pair);
-  const std::string* find(const std::string& path) const;
-  const std::string& need(const std::string& path) const;
-  double number(const std::string& path) const;
-  double number(const std::string& path, double otherwise) const;
-  std::int64_t integer(const std::string& path) const;
-  std::int64_t integer(const std::string& path, std::int64_t otherwise) const;
-  bool boolean(const std::string& path, bool otherwise) const;
-  std::vector<std::string> list(const std::string& path) const;
-
- private:
-  std::map<std::string, std::string> values_;
-};
-
 }  // namespace reedchute::wire
