A bounded read that waited too long for its connection is not sent

Seen: executions reach a store up to 262 ms (99th percentile) after the decision at the start, as connections come up; a bounded read decided on a 190 ms old position would leave stale. The module now names the last moment (position + bound); past it the execution ends as moot, provably not run.

--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -270,14 +270,19 @@
   scheduler_.spawn(serve(std::move(c)));
 }
 
+// Is it still to be written? Danger: a statement may have ended while its execution waited for a connection.
+bool Stores::due(const Job& j) const {
+  TimePoint now = scheduler_.now();
+  return !j.cancelled && j.until > now && j.sendBy > now && giver_.wanted(j);
+}
+
 // The next job for a connection; those that are not to be sent any more end on the way.
 Job* Stores::nextFor(int store) {
   std::deque<Job*>& waiting = pools_[static_cast<std::size_t>(store)].waiting;
   while (!waiting.empty()) {
     Job* j = waiting.front();
     waiting.pop_front();
-    bool due = j->until > scheduler_.now() && (!j->sendBy || *j->sendBy > scheduler_.now());
-    if (!j->cancelled && due && giver_.wanted(*j)) return j;
+    if (due(*j)) return j;
     finish(j, Ending::moot);
   }
   return nullptr;
@@ -338,7 +343,7 @@
       break;
     }
     Job* j = conn.job;
-    if (j->cancelled || !giver_.wanted(*j)) {
+    if (!due(*j)) {
       conn.job = nullptr;
       finish(j, Ending::moot);
       continue;
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -22,7 +22,7 @@
   int store = -1;
   std::string bytes;
   TimePoint begun, until;
-  std::optional<TimePoint> sendBy;  // not sent at all later than this
+  TimePoint sendBy = kForever;  // not written at all later than this
   Connection* on = nullptr;
   bool cancelled = false;
   // what came back
@@ -73,6 +73,7 @@
 
   void openOne(int store);
   bool closeLongestIdle();
+  bool due(const Job& job) const;
   Job* nextFor(int store);
   void finish(Job* job, Ending ending);
   void failOldest(int store);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -512,8 +512,7 @@
   return std::max(typical_[w], std::min(typical_[w] * kStart, terms_.workloads[w].slo * kStartShare));
 }
 
-// What a tenant sends beyond its share is worth little. A front sees only its own part of the traffic and
-// takes the tenants' shares as the same part of it.
+// Beyond its share a tenant's work is worth little. Shares are taken as this front's part of all traffic.
 void Rules::countTenant(Stmt& st, TimePoint now) {
   if (st.tenant < 0 || quotas_ <= 0) return;
   double tau = memory_.seconds(), rates = 0;
@@ -539,8 +538,7 @@
 
 double Rules::standing(const Stmt& st, TimePoint now) const {
   const Workload& w = terms_.workloads[st.workload];
-  double worth = w.importance * (st.overShare ? terms_.overShareWorth : 1);
-  return late(st, now) ? worth * w.lateShare : worth;
+  return w.importance * (st.overShare ? terms_.overShareWorth : 1) * (late(st, now) ? w.lateShare : 1);
 }
 
 void Rules::dispatch(int g, TimePoint now, Writer& out) {
@@ -573,8 +571,7 @@
     const Workload& w = terms_.workloads[st.workload];
     bool lost = w.level != Level::any && !primaryUsable(group, now);
     bool hopeless = now + startTime(st.workload) > st.giveUpAt || !mayRunAgain(st, -1, now);
-    // Past its SLO time it waits for a primary, or for room if it is still worth much; but it leaves its
-    // client time to try again.
+    // Past its SLO time it waits for a primary, or if still worth much, and leaves its client time to retry.
     bool worth = w.lateShare >= kWorthWaiting || (lost && w.lateShare > 0);
     bool waited = now - st.arrived > (st.giveUpAt - st.arrived) * kLateWait;
     if (hopeless || (late(st, now) && (!worth || waited))) giveUp(stmt, out);
@@ -624,8 +621,7 @@
   return true;
 }
 
-// How many answers a store owes, by what its executions usually take. Danger: a store that takes work and
-// answers nothing looks like any other; it shows only here, and the sooner the more it holds.
+// Danger: a store that takes work and answers nothing shows only by the answers it owes, by usual times.
 std::vector<double> Rules::answersMissing(TimePoint now) const {
   std::vector<double> missing(stores_.group.size(), 0);
   for (int stmt : open_)
@@ -717,7 +713,10 @@
   stores_.freeAt[s] = std::max(now, stores_.freeAt[s]) + typical_[st.workload] * (1 / stores_.limit[s]);
   if (warmth(s, now) < 1) stores_.coldBudget[s] -= least_[st.workload].seconds();
   if (stores_.block[s] > Span{}) stores_.blockedUntil[s] = now + stores_.block[s];  // a trial: one at a time
-  out.send(stmt, s, st.giveUpAt);
+  // Danger: a connection takes its time to come up; a bounded read that leaves too late is a stale one.
+  const Workload& w = terms_.workloads[st.workload];
+  bool ages = w.level == Level::bounded && s != groups_[st.group].primary && !terms_.storesCheck;
+  out.send(stmt, s, st.giveUpAt, ages ? stores_.position[s] + w.bound : st.giveUpAt);
 }
 
 // ---- facts and the round ----
--- a/src/rules.h
+++ b/src/rules.h
@@ -102,7 +102,8 @@
 class Writer {
  public:
   virtual ~Writer() = default;
-  virtual void send(int stmt, int store, TimePoint stopAt) = 0;
+  // `sendBy`: an execution that has not left by then ends as moot.
+  virtual void send(int stmt, int store, TimePoint stopAt, TimePoint sendBy) = 0;
   virtual void cancel(int stmt, int execution) = 0;
   virtual void reject(int stmt, Span comeBack) = 0;
   virtual void abort(int stmt) = 0;
--- a/src/stages/route.h
+++ b/src/stages/route.h
@@ -22,7 +22,9 @@
   // Tells the module when the time has come that it asked to be woken at.
   sched::Task<> alarm();
 
-  void send(int stmt, int store, TimePoint stopAt) override { send_.execution(stmt, store, stopAt); }
+  void send(int stmt, int store, TimePoint stopAt, TimePoint sendBy) override {
+    send_.execution(stmt, store, stopAt, sendBy);
+  }
   void cancel(int stmt, int execution) override { send_.cancel(stmt, execution); }
   void reject(int stmt, Span comeBack) override;
   void abort(int stmt) override;
--- a/src/stages/send.cpp
+++ b/src/stages/send.cpp
@@ -9,7 +9,7 @@
 
 namespace reedchute::stages {
 
-void Send::execution(int stmt, int store, TimePoint stopAt) {
+void Send::execution(int stmt, int store, TimePoint stopAt, TimePoint sendBy) {
   Statement& st = book_.row(stmt);
   TimePoint now = scheduler_.now();
   auto job = std::make_unique<peers::Job>();
@@ -18,6 +18,7 @@
   job->store = store;
   job->begun = now;
   job->until = stopAt;
+  job->sendBy = sendBy;
   std::int64_t left = std::max<std::int64_t>(0, (stopAt - now).us / 1000);
   job->bytes = pg::query(pg::withWait(st.text, st.waitAt, st.waitSize, left));
   ++st.out;
--- a/src/stages/send.h
+++ b/src/stages/send.h
@@ -11,7 +11,7 @@
   Send(sched::Scheduler& s, Book& book, peers::Stores& stores, Span probeTimeout)
       : scheduler_(s), book_(book), stores_(stores), probeTimeout_(probeTimeout) {}
 
-  void execution(int stmt, int store, TimePoint stopAt);
+  void execution(int stmt, int store, TimePoint stopAt, TimePoint sendBy);
   void cancel(int stmt, int execution);
   void probe(int store);
 
--- a/src/wire/adapter.cpp
+++ b/src/wire/adapter.cpp
@@ -49,7 +49,7 @@
     rules_ = std::make_unique<Rules>(termsFrom(p, seed, names), now);
   }
 
-  void send(int stmt, int store, TimePoint stopAt) override {
+  void send(int stmt, int store, TimePoint stopAt, TimePoint) override {  // here it leaves at once
     ++ledger_[static_cast<std::size_t>(stmt)].out;
     ++ledger_[static_cast<std::size_t>(stmt)].sent;
     begin("SUBMIT_TO").add(stmts.id(stmt)).add(stores.id(store)).add(stopAt.us).end();
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -87,9 +87,12 @@
       std::printf("store %d: %d of %d\n", s, sent[static_cast<std::size_t>(s)], count);
   }
 
-  void send(int stmt, int store, TimePoint) override {
+  void send(int stmt, int store, TimePoint, TimePoint sendBy) override {
     last = store, lastStmt = stmt;
-    say("send #%d to %d", stmt, store);
+    if (bySend)
+      say("send #%d to %d, by %.0f", stmt, store, (sendBy - TimePoint{1'000'000'000}).seconds() * 1000);
+    else
+      say("send #%d to %d", stmt, store);
   }
   void cancel(int stmt, int execution) override { say("cancel #%d execution %d", stmt, execution); }
   void reject(int stmt, Span back) override {
@@ -114,7 +117,7 @@
 
   TimePoint clock{1'000'000'000};
   Rules rules;
-  bool quiet = false, probes = false;
+  bool quiet = false, probes = false, bySend = false;
   int last = -1, lastStmt = -1, probed = -1;
 
  private:
