--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -30,7 +30,9 @@
     if (equals == std::string_view::npos) continue;
     std::optional<double> value = numberIn(pair.substr(equals + 1));
     if (!value) continue;
-    if (pair.substr(0, equals) == "x0") report.position = TimePoint{static_cast<std::int64_t>(*value * 1e6)};
+    // Danger: a store that has no position yet says 0, and no primary; taken for a report it would hide the one.
+    if (pair.substr(0, equals) == "x0" && *value > 0)
+      report.position = TimePoint{static_cast<std::int64_t>(*value * 1e6)};
     if (pair.substr(0, equals) == "x1") report.primary = *value > 0.5;
   }
   return report;
