--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -65,7 +65,7 @@
 constexpr double kMemory = 0.25;     // of the warm-up time: how far back rates look
 constexpr double kComeBack = 0.5;    // SLO times that a rejected client is asked to keep away
 constexpr double kRepeatAge = 0.5;   // of the SLO time that a client's repeat is taken to have waited before
-constexpr double kLateWait = 0.6;    // of its client's time that a late statement may wait in all
+constexpr double kLateWait = 0.45;  // of its client's time that a late statement may wait in all
 constexpr double kWorthWaiting = 0.5;  // late share from which a late statement still waits for room
 // Time-outs.
 constexpr double kSilent = 8;   // answers that a store should have given since its last, to count as silent
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -422,6 +422,40 @@
   b.pass(3000);
 }
 
+// Danger: a statement answered past half of its client's time, with nothing ever sent, leaves the client too
+// little to try again.
+void lateWait() {
+  Terms t = Bench::terms({kWrite, kBounded});
+  t.workloads[0].lateShare = 0.3, t.workloads[1].lateShare = 0.2;
+  Bench b(t);
+  b.list(2);
+  b.report(1, 10);
+  b.note("the primary dies: a write and a bounded read past their SLO time wait less than half their 2 s");
+  int first = b.arrive(0);
+  b.round();
+  b.answer(first, Ending::reset);
+  b.pass(300);
+  b.arrive(0), b.arrive(1);
+  b.pass(1200);
+}
+
+// Danger: a read that leaves late, as its connection came up late, would find data older than its bound.
+void sendBy() {
+  Bench b(Bench::terms({kBounded, kAny, kWrite}));
+  b.bySend = true;
+  b.list(2);
+  b.report(1, 60);
+  b.note("a bounded read may leave until its replica's position is as old as the bound, others until their end");
+  int late = b.arrive(0);
+  b.arrive(1), b.arrive(2);
+  b.round();
+  b.pass(150);
+  b.note("one that did not leave by then is placed anew");
+  b.answer(late, Ending::moot);
+  b.report(1, 10);
+  b.round();
+}
+
 const struct {
   const char* name;
   void (*run)();
@@ -435,6 +469,7 @@
     {"deadStore", deadStore}, {"coldDebt", coldDebt}, {"fullTable", fullTable},
     {"readAsLook", readAsLook}, {"probesEarned", probesEarned}, {"repeats", repeats},
     {"standing", standing}, {"manyFronts", manyFronts}, {"tenantShares", tenantShares},
+    {"lateWait", lateWait}, {"sendBy", sendBy},
 };
 
 }  // namespace
