--- /dev/null
+++ b/example/toy.cpp
@@ -0,0 +1,295 @@
+#include "toy.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "pg/messages.h"
+#include "pg/statement.h"
+
+namespace reedchute::toy {
+namespace {
+
+constexpr std::size_t kMost = 256 * 1024;
+
+sockaddr_in loopback(std::uint16_t port) {
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons(port);
+  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return a;
+}
+
+std::string parameter(const std::string& name, const std::string& value) {
+  return pg::message('S', name + '\0' + value + '\0');
+}
+
+std::string row(const std::string& value) {
+  std::string described("\0\1payload\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\1", 28);
+  std::string data("\0\1", 2);
+  for (int shift = 24; shift >= 0; shift -= 8) data.push_back(static_cast<char>(value.size() >> shift & 0xff));
+  return pg::message('T', described) + pg::message('D', data + value);
+}
+
+// The word of `key` for its n-th execution: words are set apart by dashes, the last one holds on.
+std::string wordFor(std::string_view key, int n) {
+  for (;;) {
+    std::size_t dash = key.find('-');
+    if (n == 0 || dash == std::string_view::npos) return std::string(key.substr(0, dash));
+    key.remove_prefix(dash + 1);
+    --n;
+  }
+}
+
+}  // namespace
+
+Toy::~Toy() = default;
+
+int Toy::addStore(bool primary, int group, std::uint16_t port) {
+  auto store = std::make_unique<Store>();
+  store->listener = std::make_unique<sched::Descriptor>(scheduler_, sched::listenOn(loopback(port)));
+  store->port = static_cast<std::uint16_t>(sched::portOf(store->listener->fd()));
+  store->primary = primary;
+  store->group = group;
+  stores_.push_back(std::move(store));
+  int number = static_cast<int>(stores_.size()) - 1;
+  scheduler_.spawn(acceptStore(number));
+  return number;
+}
+
+std::uint16_t Toy::portOf(int store) const { return stores_[static_cast<std::size_t>(store)]->port; }
+int Toy::executions(int store) const { return stores_[static_cast<std::size_t>(store)]->executions; }
+
+std::string Toy::member(int number) const {
+  const Store& s = *stores_[static_cast<std::size_t>(number)];
+  return "{\"id\":\"" + idOf(number) + "\",\"addr\":\"127.0.0.1:" + std::to_string(s.port) +
+         "\",\"zone\":\"a\",\"kind\":\"toy\",\"cell\":" + std::to_string(s.group) + ",\"state\":\"" + s.state +
+         "\",\"weight\":1.0,\"started_ms\":" + std::to_string(s.startedMs) + ",\"access\":\"" +
+         (s.primary ? "writer" : "reader") + "\"}";
+}
+
+std::string Toy::roster(bool full) const {
+  std::string entries;
+  for (int k = 0; k < static_cast<int>(stores_.size()); ++k)
+    if (stores_[static_cast<std::size_t>(k)]->state != "removed") entries += (entries.empty() ? "" : ",") + member(k);
+  return "{\"version\":" + std::to_string(version_) + ",\"full\":" + (full ? "true" : "false") +
+         ",\"servers\":[" + entries + "]}";
+}
+
+void Toy::changed(int store) {
+  changes_.emplace_back(++version_, store);
+  for (sched::Event* watcher : watchers_) watcher->set();
+}
+
+void Toy::setState(int store, const std::string& state) {
+  stores_[static_cast<std::size_t>(store)]->state = state;
+  changed(store);
+}
+
+void Toy::setPrimary(int store) {
+  for (auto& s : stores_) s->primary = false;
+  stores_[static_cast<std::size_t>(store)]->primary = true;
+}
+
+void Toy::kill(int number) {
+  Store& s = *stores_[static_cast<std::size_t>(number)];
+  s.alive = false;
+  s.listener->close();
+  for (sched::Socket* c : s.connections) c->close();
+}
+
+void Toy::revive(int number) {
+  Store& s = *stores_[static_cast<std::size_t>(number)];
+  s.alive = true;
+  s.startedMs = scheduler_.now().us / 1000;
+  s.listener = std::make_unique<sched::Descriptor>(scheduler_, sched::listenOn(loopback(s.port)));
+  scheduler_.spawn(acceptStore(number));
+  changed(number);
+}
+
+void Toy::closeIdle(int number) {
+  for (sched::Socket* c : stores_[static_cast<std::size_t>(number)]->idle) c->close();
+}
+
+// ---- stores ----
+
+sched::Task<> Toy::acceptStore(int number) {
+  sched::Descriptor& listener = *stores_[static_cast<std::size_t>(number)]->listener;
+  while (listener.open()) {
+    bool full = false;
+    int fd = sched::acceptOn(listener.fd(), full);
+    if (fd >= 0)
+      scheduler_.spawn(serveStore(number, std::make_unique<sched::Socket>(scheduler_, fd)));
+    else
+      co_await listener.in.wait();
+  }
+}
+
+sched::Task<> Toy::serveStore(int number, std::unique_ptr<sched::Socket> owned) {
+  sched::Socket& s = *owned;
+  Store& store = *stores_[static_cast<std::size_t>(number)];
+  store.connections.push_back(&s);
+  std::string in;
+  bool greeted = false;
+  for (;;) {
+    std::int32_t code = 0;
+    std::size_t size = 0;
+    pg::Message m;
+    std::string out;
+    if (!greeted && pg::frameStartup(in, kMost, code, size) == pg::Framed::whole) {
+      in.erase(0, size);
+      greeted = true;
+      out = pg::greeting();
+    } else if (greeted && pg::frame(in, kMost, m) == pg::Framed::whole) {
+      if (m.type != 'Q') break;
+      std::string_view rest = m.payload;
+      std::string text(pg::takeString(rest).value_or(""));
+      in.erase(0, m.whole.size());
+      if (text == "SHOW usage") {
+        // A primary stands at the present; so does a toy replica.
+        double position = (scheduler_.now() - TimePoint{}).seconds();
+        out = row("x0=" + std::to_string(position) + ",x1=" + (store.primary ? "1" : "0") + ",inflight=0") +
+              pg::message('C', std::string("SHOW\0", 5)) + pg::ready();
+      } else {
+        bool open = co_await doStatement(number, s, std::move(text));
+        if (!open) break;
+        continue;
+      }
+    } else {
+      store.idle.push_back(&s);
+      sched::Socket::Got got = s.read(in, kMost);
+      if (got == sched::Socket::Got::nothing) {
+        co_await s.in.wait();
+        got = s.read(in, kMost);
+      }
+      std::erase(store.idle, &s);
+      if (got == sched::Socket::Got::ended) break;
+      continue;
+    }
+    bool sent = co_await sched::writeAll(s, out, kForever);
+    if (!sent) break;
+  }
+  std::erase(store.connections, &s);
+}
+
+// What becomes of a statement is the first word of its key: ok, miss, full, error, stale, break (after it was
+// taken), silent, half (a row cut off), garbage, twice (a row too many), or slow and a number of milliseconds.
+sched::Task<bool> Toy::doStatement(int number, sched::Socket& s, std::string text) {
+  Store& store = *stores_[static_cast<std::size_t>(number)];
+  pg::Fields f;
+  pg::readStatement(text, f);
+  int n = tries_[std::string(f.id)]++;
+  std::string word = wordFor(f.key, n);
+  ++store.executions;
+  seen(number, text);
+  std::string role = parameter("server_role", store.primary ? "writer" : "reader");
+  bool write = text.rfind("INSERT", 0) == 0;
+  std::string out;
+  if (word.rfind("slow", 0) == 0) {
+    std::int64_t wait = 0;
+    std::from_chars(word.data() + 4, word.data() + word.size(), wait);
+    sched::Event pause(scheduler_);
+    co_await pause.wait(scheduler_.now() + Span{wait * 1000});
+    word = "ok";
+  }
+  if (write && !store.primary) {
+    out = pg::error(false, "25006", "this is no primary") + role + pg::ready();
+  } else if (word == "miss" || word == "stale") {
+    out = pg::error(false, "72000", "too far behind") + role + pg::ready();
+  } else if (word == "full") {
+    out = pg::error(false, "53300", "the queue is full") + role + pg::ready();
+  } else if (word == "error") {
+    out = pg::error(false, "XX000", "it went wrong") + role + pg::ready();
+  } else if (word == "away") {
+    out = pg::error(false, "57P03", "not now") + role + pg::ready();
+  } else if (word == "break") {
+    co_return false;
+  } else if (word == "silent") {
+    sched::Event never(scheduler_);
+    while (s.open()) {
+      std::string rest;
+      co_await s.in.wait();
+      if (s.read(rest, kMost) == sched::Socket::Got::ended) break;
+    }
+    co_return false;
+  } else if (word == "half") {
+    std::string whole = row(std::string(1000, 'x'));
+    co_await sched::writeAll(s, std::string_view(whole).substr(0, 300), kForever);
+    co_return false;
+  } else if (word == "garbage") {
+    out = std::string("\x01\xff\xff\xff\xff garbage");
+  } else if (word == "twice") {
+    out = row("one") + row("two") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
+  } else {
+    out = row("value of " + std::string(f.key)) + pg::message('C', std::string("SELECT 1\0", 9)) + role;
+    if (write) out += parameter("commit_clock", std::to_string(scheduler_.now().us / 1000));
+    out += pg::ready();
+  }
+  bool sent = co_await sched::writeAll(s, out, kForever);
+  co_return sent;
+}
+
+// ---- the list ----
+
+std::uint16_t Toy::serveList(std::uint16_t port) {
+  list_ = std::make_unique<sched::Descriptor>(scheduler_, sched::listenOn(loopback(port)));
+  scheduler_.spawn(acceptList());
+  return static_cast<std::uint16_t>(sched::portOf(list_->fd()));
+}
+
+sched::Task<> Toy::acceptList() {
+  for (;;) {
+    bool full = false;
+    int fd = sched::acceptOn(list_->fd(), full);
+    if (fd >= 0)
+      scheduler_.spawn(serveListCall(std::make_unique<sched::Socket>(scheduler_, fd)));
+    else
+      co_await list_->in.wait();
+  }
+}
+
+sched::Task<> Toy::serveListCall(std::unique_ptr<sched::Socket> owned) {
+  sched::Socket& s = *owned;
+  std::string in;
+  sched::Event news(scheduler_);
+  for (;;) {
+    std::size_t end = in.find("\r\n\r\n");
+    if (end == std::string::npos) {
+      sched::Socket::Got got = s.read(in, kMost);
+      if (got == sched::Socket::Got::ended) co_return;
+      if (got == sched::Socket::Got::nothing) co_await s.in.wait();
+      continue;
+    }
+    std::string head = in.substr(0, end);
+    in.erase(0, end + 4);
+    auto figure = [&](const char* name) {
+      std::int64_t value = -1;
+      std::size_t at = head.find(name);
+      if (at != std::string::npos) std::from_chars(head.data() + at + 6, head.data() + head.size(), value);
+      return value;
+    };
+    std::int64_t index = figure("index="), wait = figure("&wait=");
+    std::string body;
+    if (index < 0) {
+      body = roster(true);
+    } else {
+      if (version_ <= index && wait > 0) {
+        watchers_.push_back(&news);
+        co_await news.wait(scheduler_.now() + Span{wait * 1000});
+        std::erase(watchers_, &news);
+      }
+      std::string entries;
+      for (const auto& [version, store] : changes_)
+        if (version > index) entries += (entries.empty() ? "" : ",") + member(store);
+      body = "{\"version\":" + std::to_string(version_) + ",\"full\":false,\"servers\":[" + entries + "]}";
+    }
+    std::string out = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                      std::to_string(body.size()) + "\r\n\r\n" + body;
+    if (!spoiled_.empty()) out = std::exchange(spoiled_, {});
+    bool sent = co_await sched::writeAll(s, out, kForever);
+    if (!sent) co_return;
+  }
+}
+
+}  // namespace reedchute::toy
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -80,7 +80,7 @@
   scheduler_.spawn(list_.run());
   scheduler_.spawn(leave());
   scheduler_.spawn(tally());
-  clients_.listen(given_.listen);
+  log::line("listening", "port=%d", clients_.listen(given_.listen));
   enter(Phase::serving);
   scheduler_.run([this] { route_.round(); });
   enter(Phase::ended);
--- a/src/front/given.cpp
+++ b/src/front/given.cpp
@@ -17,8 +17,8 @@
   return *v;
 }
 
-sockaddr_in addressIn(const json::Value& in, const char* name) {
-  auto address = sched::parseAddress(need(in, name, json::Value::Kind::text).text);
+sockaddr_in addressIn(const json::Value& in, const char* name, bool zeroPort) {
+  auto address = sched::parseAddress(need(in, name, json::Value::Kind::text).text, zeroPort);
   if (!address) throw Malformed(std::string("the configuration's '") + name + "' is no address");
   return *address;
 }
@@ -40,8 +40,8 @@
   if (config.kind != Kind::object) throw Malformed("the configuration is no JSON object");
   Given g;
   g.name = need(config, "name", Kind::text).text;
-  g.listen = addressIn(config, "listen");
-  g.discovery = addressIn(config, "discovery");
+  g.listen = addressIn(config, "listen", true);
+  g.discovery = addressIn(config, "discovery", false);
   g.discoveryHost = need(config, "discovery", Kind::text).text;
   const std::string& seed = need(config, "seed", Kind::text).text;
   std::uint64_t seedValue = 0;
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -1,7 +1,6 @@
 #include "json/json.h"
 
 #include <charconv>
-#include <cmath>
 
 namespace reedchute::json {
 namespace {
@@ -222,8 +221,8 @@
   if (!wellFormed(token_)) return fail("a broken number");
   Value v;
   v.kind = Value::Kind::number;
-  std::from_chars(token_.data(), token_.data() + token_.size(), v.number);
-  if (!std::isfinite(v.number)) return fail("a number too large");
+  auto [end, error] = std::from_chars(token_.data(), token_.data() + token_.size(), v.number);
+  if (error != std::errc{}) return fail("a number out of range");
   v.text = token_;
   return closed(std::move(v));
 }
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -54,9 +54,10 @@
 Clients::Clients(sched::Scheduler& s, Desk& desk, Limits limits) : scheduler_(s), desk_(desk), limits_(limits) {}
 Clients::~Clients() = default;
 
-void Clients::listen(const sockaddr_in& address) {
+int Clients::listen(const sockaddr_in& address) {
   listener_ = std::make_unique<sched::Descriptor>(scheduler_, sched::listenOn(address));
   scheduler_.spawn(accept());
+  return sched::portOf(listener_->fd());
 }
 
 void Clients::stopListening() {
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -33,8 +33,8 @@
   Clients(sched::Scheduler& s, Desk& desk, Limits limits);
   ~Clients();
 
-  // Accepts until stopListening(); throws where the address can't be had.
-  void listen(const sockaddr_in& address);
+  // Accepts until stopListening() and returns the port; throws where the address can't be had.
+  int listen(const sockaddr_in& address);
   void stopListening();
   // From now on sessions end when they are idle, at once or after their answer.
   void sendAway();
--- a/src/pg/messages.cpp
+++ b/src/pg/messages.cpp
@@ -12,13 +12,6 @@
   for (int shift = 24; shift >= 0; shift -= 8) to.push_back(static_cast<char>(v >> shift & 0xff));
 }
 
-std::string message(char type, std::string_view payload) {
-  std::string m(1, type);
-  add32(m, static_cast<std::uint32_t>(payload.size() + 4));
-  m.append(payload);
-  return m;
-}
-
 void addString(std::string& to, std::string_view text) {
   to.append(text.substr(0, text.find('\0')));
   to.push_back('\0');
@@ -28,11 +21,18 @@
   std::string payload;
   addString(payload, name);
   addString(payload, value);
-  return message('S', payload);
+  return pg::message('S', payload);
 }
 
 }  // namespace
 
+std::string message(char type, std::string_view payload) {
+  std::string m(1, type);
+  add32(m, static_cast<std::uint32_t>(payload.size() + 4));
+  m.append(payload);
+  return m;
+}
+
 Framed frame(std::string_view bytes, std::size_t most, Message& m) {
   if (bytes.size() < 5) return Framed::partial;
   std::uint32_t length = read32(bytes.substr(1));
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -85,11 +85,10 @@
   }
   if (coarse_) n = epoll_wait(epoll_, events, kEventsAtOnce, static_cast<int>((left.us + 999) / 1000));
   readClock();
+  // Danger: a coroutine may close a descriptor whose events are still in hand, and its number may be used again
+  // at once. So all events of a pass are noted before the first coroutine runs.
   for (int k = 0; k < n; ++k) {
-    auto place = static_cast<std::uint32_t>(events[k].data.u64);
-    auto generation = static_cast<std::uint32_t>(events[k].data.u64 >> 32);
-    if (places_[place].generation != generation || !places_[place].descriptor) continue;
-    Descriptor& d = *places_[place].descriptor;
+    Descriptor& d = *static_cast<Descriptor*>(events[k].data.ptr);
     if (events[k].events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) d.in.set();
     if (events[k].events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) d.out.set();
   }
@@ -158,28 +157,17 @@
 
 // ---- descriptors ----
 
-Descriptor::Descriptor(Scheduler& s, int fd) : in(s), out(s), scheduler_(s), fd_(fd) {
+Descriptor::Descriptor(Scheduler& s, int fd) : in(s), out(s), fd_(fd) {
   if (fd_ < 0) return;
-  if (s.freePlaces_.empty()) {
-    place_ = static_cast<std::uint32_t>(s.places_.size());
-    s.places_.emplace_back();
-  } else {
-    place_ = s.freePlaces_.back();
-    s.freePlaces_.pop_back();
-  }
-  s.places_[place_].descriptor = this;
   epoll_event e{};
   e.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
-  e.data.u64 = static_cast<std::uint64_t>(s.places_[place_].generation) << 32 | place_;
+  e.data.ptr = this;
   if (epoll_ctl(s.epoll_, EPOLL_CTL_ADD, fd_, &e) < 0) close();
 }
 
 void Descriptor::close() {
   if (fd_ < 0) return;
   ::close(std::exchange(fd_, -1));
-  scheduler_.places_[place_].descriptor = nullptr;
-  ++scheduler_.places_[place_].generation;
-  scheduler_.freePlaces_.push_back(place_);
   in.set();
   out.set();
 }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -9,7 +9,6 @@
 #include <map>
 #include <unordered_set>
 #include <utility>
-#include <vector>
 
 #include "base/time.h"
 #include "sched/task.h"
@@ -60,14 +59,6 @@
   Timers timers_;
   std::uint64_t timerSeq_ = 0;
   std::unordered_set<void*> roots_;
-  // Danger: a descriptor may be closed and its number used again while events of the old one are still in
-  // hand; they carry the place's generation, which has moved on.
-  struct Place {
-    Descriptor* descriptor = nullptr;
-    std::uint32_t generation = 0;
-  };
-  std::vector<Place> places_;
-  std::vector<std::uint32_t> freePlaces_;
 };
 
 // What one coroutine waits for. Set while nobody waits, it is kept for the next who does.
@@ -118,9 +109,7 @@
   Event in, out;
 
  private:
-  Scheduler& scheduler_;
   int fd_;
-  std::uint32_t place_ = 0;
 };
 
 }  // namespace reedchute::sched
--- a/src/sched/socket.cpp
+++ b/src/sched/socket.cpp
@@ -24,14 +24,15 @@
 
 }  // namespace
 
-std::optional<sockaddr_in> parseAddress(std::string_view text) {
+std::optional<sockaddr_in> parseAddress(std::string_view text, bool zeroPort) {
   std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
   std::string host(text.substr(0, colon));
   std::string_view port = text.substr(colon + 1);
   std::uint16_t number = 0;
   auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), number);
-  if (error != std::errc{} || end != port.data() + port.size() || number == 0) return std::nullopt;
+  if (error != std::errc{} || end != port.data() + port.size() || (number == 0 && !zeroPort))
+    return std::nullopt;
   sockaddr_in a{};
   a.sin_family = AF_INET;
   a.sin_port = htons(number);
@@ -52,6 +53,12 @@
   return fd;
 }
 
+int portOf(int listener) {
+  sockaddr_in a{};
+  socklen_t size = sizeof a;
+  return getsockname(listener, reinterpret_cast<sockaddr*>(&a), &size) == 0 ? ntohs(a.sin_port) : -1;
+}
+
 int acceptOn(int listener, bool& full) {
   full = false;
   for (;;) {
--- a/src/sched/socket.h
+++ b/src/sched/socket.h
@@ -11,12 +11,16 @@
 
 namespace reedchute::sched {
 
-// "127.0.0.1:5432"; nothing where it is no IPv4 address with a port.
-std::optional<sockaddr_in> parseAddress(std::string_view text);
+// "127.0.0.1:5432"; nothing where it is no IPv4 address with a port. Port 0, to listen on a port of the system's
+// choice, only where that is asked for.
+std::optional<sockaddr_in> parseAddress(std::string_view text, bool zeroPort = false);
 
 // A listening descriptor. Throws std::runtime_error, naming the address, where it can't be had.
 int listenOn(const sockaddr_in& address);
 
+// The port that it was given.
+int portOf(int listener);
+
 // The next connection that waits to be accepted, or -1; `full` tells that the process has no descriptor left.
 int acceptOn(int listener, bool& full);
 
--- /dev/null
+++ b/tests/front.cpp
@@ -0,0 +1,410 @@
+// The whole front on loopback, a process of its own, against the toy of example/. Prints what clients got and
+// what the stores saw; no line depends on how fast the machine is.
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <memory>
+#include <stdexcept>
+
+#include "toy.h"
+
+#include "pg/messages.h"
+
+using namespace reedchute;
+using sched::Socket;
+
+namespace {
+
+const char* program = nullptr;
+constexpr Span kPatience{20'000'000};  // only a broken front ever takes that long
+
+const char* kSettings = R"({"classes":[
+  {"name":"any","repeat":"repeatable","slo":500000,"worth":1,"late_worth":0.2},
+  {"name":"near","repeat":"repeatable","slo":500000,"worth":1,"late_worth":0.2},
+  {"name":"write","repeat":"by_key","key_scope":"cell","repeat_window":3000000,"slo":600000,"worth":4,"late_worth":0.3},
+  {"name":"once","repeat":"once","slo":600000,"worth":4,"late_worth":0.3}],
+ "extra":{"read_level":["eventual","lag_bound","mutate","mutate"],"lag_allowed":[0,20000000,0,0],"origin_time":0,
+  "role_in_list":"static","checks":"none","tokens":"brought"},
+ "failure_domains":["a"],"membership_mode":"automatic","siblings":1,"tick":5000,
+ "limits":{"connect_timeout":250000,"keepalive":15000000,"max_attempts":6,"may_cancel":true,"parallel_tries":true,
+  "probes":true,"retry_after":true,"max_retry_after":2000000},
+ "obligations":{"ask_every":10000000,"cold_from":0.27,"fall_multiple":2.5,"ramp_time":16000000,"tip_after":2000000},
+ "prices":{"probe":0.016},"realms":[]})";
+
+// What came from a front, in words.
+std::string inWords(std::string& in) {
+  std::string said;
+  pg::Message m;
+  while (pg::frame(in, 1 << 20, m) == pg::Framed::whole) {
+    auto add = [&](const std::string& s) { said += (said.empty() ? "" : ", ") + s; };
+    std::string code(pg::errorField(m.payload, 'C')), detail(pg::errorField(m.payload, 'D'));
+    if (m.type == 'D') {
+      auto value = pg::firstColumn(m.payload);
+      add(value ? "row '" + std::string(value->substr(0, 40)) + "'" : "a broken row");
+    } else if (m.type == 'E') {
+      add(std::string(pg::errorField(m.payload, 'S')) + " " + code +
+          (detail.empty() ? "" : ", come back after " + detail));
+    } else if (m.type == 'I') {
+      add("empty");
+    } else if (m.type == 'Z') {
+      add("ready");
+    } else if (m.type == 'R') {
+      add("welcome");
+    }
+    in.erase(0, m.whole.size());
+  }
+  return said;
+}
+
+class Drive {
+ public:
+  explicit Drive(int stores, int sockets = 256) : toy(s) {
+    for (int k = 0; k < stores; ++k) toy.addStore(k == 0, 7);
+    listPort_ = toy.serveList();
+    toy.seen = [this](int store, const std::string& text) {
+      ++sent;
+      if (show) std::printf("  store %d sees: %s\n", store, text.substr(0, text.find(",d=")).c_str());
+    };
+    start(sockets);
+  }
+  ~Drive() {
+    if (child_ > 0) kill(child_, SIGKILL), waitpid(child_, nullptr, 0);
+    unlink(path_.c_str());
+  }
+
+  void start(int sockets) {
+    char name[] = "/tmp/reedchute-test-XXXXXX";
+    int file = mkstemp(name);
+    if (file < 0) throw std::runtime_error("no temporary file");
+    close(file);
+    path_ = name;
+    std::ofstream(path_) << "{\"name\":\"t\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" << listPort_
+                         << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" << sockets
+                         << "},\"known\":" << toy.roster(true) << ",\"settings\":" << kSettings << "}";
+    int fds[2];
+    if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds) < 0) throw std::runtime_error("no socketpair");
+    child_ = fork();
+    if (child_ == 0) {
+      dup2(fds[1], 2);
+      setenv("LB_CONFIG", path_.c_str(), 1);
+      execl(program, program, static_cast<char*>(nullptr));
+      _exit(127);
+    }
+    close(fds[1]);
+    fcntl(fds[0], F_SETFL, O_NONBLOCK);
+    log_ = std::make_unique<Socket>(s, fds[0]);
+    until("the front listens", [&] { return logged("listening port="); });
+    port = static_cast<std::uint16_t>(std::atoi(log.c_str() + log.find("listening port=") + 15));
+    until("the list is read", [&] { return logged(" list version="); });
+  }
+  bool logged(const char* text) {
+    log_->read(log, 1 << 24);
+    return log.find(text) != std::string::npos;
+  }
+  // Runs the stores until something is so; says so if it never is.
+  bool until(const char* what, const std::function<bool()>& so) {
+    for (TimePoint end = s.now() + kPatience; !so();) {
+      if (s.now() > end) {
+        std::printf("waited in vain: %s\n", what);
+        if (std::getenv("SHOW_LOG")) std::fprintf(stderr, "%s", log.c_str());
+        return false;
+      }
+      s.pass(s.now() + Span{2000}, [] {});
+    }
+    return true;
+  }
+  void pass(int ms) {
+    for (TimePoint end = s.now() + Span{ms * 1000}; s.now() < end;) s.pass(s.now() + Span{2000}, [] {});
+  }
+  void signal(int number) { kill(child_, number); }
+  // How the front ended, once it has.
+  void exits() {
+    int status = -1;
+    if (until("the front exits", [&] { return waitpid(child_, &status, WNOHANG) == child_; })) child_ = -1;
+    std::printf("the front exits with %d\n", WIFEXITED(status) ? WEXITSTATUS(status) : -1);
+  }
+
+  sched::Scheduler s;
+  toy::Toy toy;
+  std::uint16_t port = 0;
+  std::string log;
+  bool show = false;
+  int sent = 0;
+
+ private:
+  std::uint16_t listPort_ = 0;
+  pid_t child_ = -1;
+  std::string path_;
+  std::unique_ptr<Socket> log_;
+};
+
+class Client {
+ public:
+  explicit Client(Drive& drive, bool greet = true) : d(drive) {
+    sockaddr_in a = *sched::parseAddress("127.0.0.1:" + std::to_string(d.port));
+    socket = std::make_unique<Socket>(d.s, sched::startConnect(a));
+    d.until("connected", [&] { return socket->write({}).has_value() && peer(); });
+    if (greet) send(pg::startup("web", "orders")), get(1);
+  }
+  bool peer() {
+    sockaddr_in a{};
+    socklen_t size = sizeof a;
+    return getpeername(socket->fd(), reinterpret_cast<sockaddr*>(&a), &size) == 0;
+  }
+  void send(std::string_view bytes) {
+    while (!bytes.empty()) {
+      auto rest = socket->write(bytes);
+      if (!rest) return;
+      bytes = *rest;
+      if (!bytes.empty()) d.pass(1);
+    }
+  }
+  // Waits for so many ReadyForQuery, or for the end; what came, in words.
+  std::string get(int readies = 1) {
+    std::string said;
+    d.until("an answer", [&] {
+      ended = ended || socket->read(in, 1 << 22) == Socket::Got::ended;
+      std::string more = inWords(in);
+      for (std::size_t k = 0; (k = more.find("ready", k)) != std::string::npos; ++k) --readies;
+      if (!more.empty()) said += (said.empty() ? "" : ", ") + more;
+      return readies <= 0 || ended;
+    });
+    return said + (ended ? (said.empty() ? "closed" : ", closed") : "");
+  }
+  static std::string read(const std::string& key, int wait = 3000, const char* workload = "any") {
+    return "SELECT payload FROM entries WHERE ref = '" + key + "' /* id=" + std::to_string(++ids) + ",c=" + workload +
+           ",cluster=7,d=" + std::to_string(wait) + " */";
+  }
+  static std::string write(const std::string& key, int wait = 3000, const char* workload = "write") {
+    return "INSERT INTO entries (ref, payload) VALUES ('" + key + "', '\\x9f') RETURNING payload /* id=" +
+           std::to_string(++ids) + ",c=" + workload + ",k=5c,cluster=7,d=" + std::to_string(wait) + " */";
+  }
+  std::string ask(const std::string& text) {
+    send(pg::query(text));
+    return get();
+  }
+  void asks(const char* what, const std::string& text) {
+    int before = d.sent;
+    std::string got = ask(text);
+    std::printf("%s: %s; %d sent\n", what, got.c_str(), d.sent - before);
+  }
+
+  Drive& d;
+  std::unique_ptr<Socket> socket;
+  std::string in;
+  bool ended = false;
+  static int ids;
+};
+int Client::ids = 0;
+
+void completed() {
+  Drive d(2);
+  d.show = true;
+  Client c(d);
+  c.asks("a read that any may answer", Client::read("7f"));
+  c.asks("a read with a bound", Client::read("80", 3000, "near"));
+  c.asks("a write", Client::write("81"));
+  d.show = false;
+  c.asks("an empty query", "");
+  c.asks("blanks and a semicolon", " ; ");
+  c.send(pg::query(Client::read("a")) + pg::query("") + pg::query(Client::read("b")));
+  std::printf("three at once: %s\n", c.get(3).c_str());
+  Client split(d, false);
+  for (char byte : pg::startup("web", "orders") + pg::query(Client::read("c"))) split.send({&byte, 1}), d.pass(1);
+  std::printf("byte by byte, the query right behind the startup: %s\n", split.get(2).c_str());
+  Client ssl(d, false);
+  ssl.send(std::string("\0\0\0\x08\x04\xd2\x16\x2f", 8));
+  d.until("N", [&] { return ssl.socket->read(ssl.in, 100) == Socket::Got::some; });
+  std::printf("asked for TLS: %s\n", std::exchange(ssl.in, {}).c_str());
+  ssl.send(pg::startup("web", "orders") + pg::query(""));
+  std::printf("then: %s\n", ssl.get(2).c_str());
+  ssl.send(pg::message('X', ""));
+  std::printf("Terminate: %s\n", ssl.get().c_str());
+}
+
+// Each on a front of its own, so that none bears another's blocks and limits.
+void outcomes() {
+  for (const char* key : {"error-ok", "full-ok", "miss-ok", "break-ok", "silent-ok", "half-ok", "garbage-ok",
+                          "twice-ok", "away-ok"}) {
+    Drive d(3);
+    Client c(d);
+    for (int k = 0; k < 40; ++k) c.ask(Client::read("ok"));  // these earn the second execution of a silent one
+    c.asks(key, Client::read(key));
+  }
+  Drive d(3);
+  std::printf("full everywhere: %s\n", Client(d).ask(Client::read("full")).c_str());
+}
+
+void writes() {
+  auto one = [](const char* what, const std::string& text) {
+    Drive d(1);
+    Client(d).asks(what, text);
+  };
+  one("may have run, its group drops repeats", Client::write("error-ok"));
+  one("must not run twice, may have run", Client::write("error-ok", 3000, "once"));
+  one("must not run twice, its connection broke", Client::write("break-ok", 3000, "once"));
+  one("must not run twice, never ran", Client::write("full-ok", 3000, "once"));
+  one("a store's 57P03 does not become a rejection", Client::write("away", 3000, "once"));
+  one("no answer in its time", Client::write("silent", 500, "once"));
+  one("garbage for an answer", Client::write("garbage", 3000, "once"));
+}
+
+void connections() {
+  Drive d(2);
+  Client c(d);
+  c.asks("first", Client::read("a"));
+  d.toy.closeIdle(0), d.toy.closeIdle(1);
+  c.asks("idle connections were closed by the stores", Client::read("b"));
+  d.toy.kill(1);
+  d.pass(50);
+  c.asks("the replica has died", Client::read("c"));
+  c.asks("a write meanwhile", Client::write("d"));
+  d.toy.revive(1);
+  d.until("the list's change is read", [&] { return d.logged("version=2"); });
+  c.asks("it is back", Client::read("e"));
+  Client other(d);
+  int before = d.sent;
+  c.send(pg::query(Client::read("slow200")));
+  d.until("it is out", [&] { return d.sent > before; });
+  c.socket->close();
+  d.pass(400);
+  std::printf("a client left in the middle: %d sent\n", d.sent - before);
+  other.asks("another one's", Client::read("f"));
+}
+
+void drains() {
+  Drive d(2);
+  Client c(d);
+  auto count = [&](const char* what) {
+    int had = d.toy.executions(1);
+    for (int k = 0; k < 5; ++k) c.ask(Client::read("a"));
+    std::printf("%s: the replica gets %d of 5\n", what, d.toy.executions(1) - had);
+  };
+  count("both up");
+  d.toy.setState(1, "draining");
+  d.until("told", [&] { return d.logged("version=2"); });
+  count("it drains");
+  d.toy.setState(1, "removed");
+  d.until("told", [&] { return d.logged("version=3"); });
+  count("it is gone");
+  d.toy.setState(1, "up");
+  d.until("told", [&] { return d.logged("version=4"); });
+  count("up again");
+  for (const char* raw :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnone", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 47\r\n\r\n{\"version\":9,\"full\":true,\"servers\":[{\"id\":\"x\"}]}"}) {
+    d.log.clear();
+    d.toy.spoilList(raw);
+    d.toy.setState(1, "up");
+    std::printf("a broken list is %s\n", d.until("logged", [&] { return d.logged("list_bad"); }) ? "logged" : "?");
+    d.until("the next call", [&] { return d.logged(" list version="); });
+    count("and the next call brings");
+  }
+}
+
+void badInput() {
+  Drive d(2);
+  Client c(d);
+  c.asks("no comment", "SELECT 1");
+  c.asks("unknown workload", Client::read("a", 3000, "other"));
+  c.asks("unknown group", "SELECT 1 /* id=1,c=any,d=100,cluster=9 */");
+  c.asks("two statements", "SELECT 1; " + Client::read("a"));
+  c.asks("broken comment", "SELECT 1 /* id=1,c=any,d=100,cluster=7");
+  c.asks("a value above 64 KiB", Client::write(std::string(140'000, 'a')));
+  c.asks("one of 64 KiB", Client::write("ok-" + std::string(131'000, 'a')));
+  c.send(pg::message('P', std::string("\0SELECT 1\0\0\0", 12)) + pg::message('S', ""));
+  std::printf("an extended query: %s\n", c.get().c_str());
+  c.asks("and a simple one after it", Client::read("b"));
+  c.send(pg::message('Q', "no end"));
+  std::printf("a query without its end: %s\n", c.get().c_str());
+  const std::pair<const char*, std::string> fatal[] = {{"an unknown type", pg::message('y', "x")},
+                                                       {"a negative length", std::string("Q\xff\xff\xff\xff", 5)},
+                                                       {"an absurd length", std::string("Q\x7f\0\0\0", 5)}};
+  for (const auto& [what, bytes] : fatal) {
+    Client other(d);
+    other.send(bytes);
+    std::printf("%s: %s\n", what, other.get().c_str());
+  }
+  Client startup(d, false);
+  startup.send(std::string("\0\0\0\2", 4));
+  std::printf("a startup without sense: %s\n", startup.get().c_str());
+  Client old(d, false);
+  old.send(std::string("\0\0\0\x08\0\2\0\0", 8));
+  std::printf("version 2: %s\n", old.get().c_str());
+  std::printf("%d were sent in all\n", d.sent);
+  c.asks("the first connection still serves", Client::read("c"));
+}
+
+void crowd() {
+  Drive d(2, 64);
+  std::vector<std::unique_ptr<Client>> many;
+  for (int k = 0; k < 60; ++k) many.push_back(std::make_unique<Client>(d));
+  int closed = 0;
+  for (auto& c : many) {
+    std::string in;
+    closed += c->socket->read(in, 10) == Socket::Got::ended;
+  }
+  std::printf("60 idle connections: %s were closed, the last one serves: %s\n", closed > 0 ? "some" : "none",
+              many.back()->ask(Client::read("a")).c_str());
+  std::printf("the first: %s\n", many.front()->get().c_str());
+  many.clear();
+  d.pass(50);
+  for (int k = 0; k < 40; ++k) {
+    many.push_back(std::make_unique<Client>(d, false));
+    many.back()->send(pg::startup("web", "orders") + pg::query(Client::read("slow500", 5000)));
+  }
+  int served = 0, refused = 0, other = 0;
+  for (auto& c : many) {
+    std::string got = c->get(2);
+    bool row = got.find("row 'value of slow500'") != std::string::npos;
+    served += row, refused += !row && got.find("53300") != std::string::npos;
+    if (!row && got.find("53300") == std::string::npos) ++other, std::printf("%s\n", got.c_str());
+  }
+  std::printf("40 busy ones: some served: %s, some rejected: %s, without an answer: %d\n",
+              served > 0 ? "yes" : "no", refused > 0 ? "yes" : "no", other);
+  many.clear();
+  d.pass(50);
+  Client after(d);
+  std::printf("afterwards: %s\n", after.ask(Client::read("b")).c_str());
+}
+
+void leaves() {
+  Drive d(2);
+  Client idle(d), busy(d);
+  busy.send(pg::query(Client::read("slow1500", 5000)));
+  int before = d.sent;
+  d.until("it is out", [&] { return d.sent > before || d.toy.executions(1) > 0; });
+  d.signal(SIGTERM);
+  d.until("leaving", [&] { return d.logged("phase=leaving"); });
+  Client late(d);
+  std::printf("a client that comes just after SIGTERM: %s\n", late.ask(Client::read("a")).c_str());
+  std::printf("one that was there: %s\n", idle.ask(Client::read("b")).c_str());
+  d.signal(SIGTERM);
+  std::printf("idle ones are sent away: %s, %s\n", idle.get().c_str(), late.get().c_str());
+  std::printf("what was in hand: %s\n", busy.get(2).c_str());
+  d.exits();
+}
+
+const struct {
+  const char* name;
+  void (*run)();
+} kCases[] = {{"completed", completed}, {"outcomes", outcomes}, {"writes", writes}, {"connections", connections},
+              {"drains", drains}, {"badInput", badInput}, {"crowd", crowd}, {"leaves", leaves}};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  for (const auto& one : kCases)
+    if (argc == 3 && !std::strcmp(argv[2], one.name)) return program = argv[1], one.run(), 0;
+  std::fprintf(stderr, "front PROGRAM CASE\n");
+  return 1;
+}
--- /dev/null
+++ b/tests/parsers.cpp
@@ -0,0 +1,245 @@
+// The parsers on every split of good input and on damaged input; tests/traces holds what they say.
+#include <cstdio>
+#include <cstring>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "http/response.h"
+#include "json/json.h"
+#include "peers/list.h"
+#include "pg/messages.h"
+#include "pg/statement.h"
+
+using namespace reedchute;
+
+namespace {
+
+std::string shown(const json::Value& v) {
+  using Kind = json::Value::Kind;
+  std::string s;
+  switch (v.kind) {
+    case Kind::null:
+      return "null";
+    case Kind::boolean:
+      return v.truth ? "true" : "false";
+    case Kind::number:
+      return v.text;
+    case Kind::text:
+      return "'" + v.text + "'";
+    case Kind::list:
+      for (const json::Value& item : v.items) s += (s.empty() ? "" : " ") + shown(item);
+      return "[" + s + "]";
+    default:
+      for (const auto& [name, member] : v.members) s += (s.empty() ? "" : " ") + name + ":" + shown(member);
+      return "{" + s + "}";
+  }
+}
+
+// What a reader says of `text` when it is cut at each place; one line if that is always the same.
+template <class Read>
+void everySplit(const std::string& text, Read read) {
+  std::string whole = read({text});
+  for (std::size_t k = 0; k <= text.size(); ++k) {
+    std::string parted = read({text.substr(0, k), text.substr(k)});
+    if (parted != whole) std::printf("  cut at %zu: %s\n", k, parted.c_str());
+  }
+  std::vector<std::string> bytes;
+  for (char c : text) bytes.emplace_back(1, c);
+  if (read(bytes) != whole) std::printf("  byte by byte: %s\n", read(bytes).c_str());
+  std::printf("%s\n", whole.c_str());
+}
+
+std::string readJson(const std::vector<std::string>& parts) {
+  json::Reader r;
+  bool good = true;
+  for (const std::string& part : parts) good = good && r.feed(part);
+  good = good && r.finish();
+  return good ? shown(r.take()) : "bad: " + r.why();
+}
+
+void jsonReader() {
+  for (const char* text :
+       {R"({"a":[1,-2.5e3,true,false,null,"x\n\"\u00e4\ud83d\ude00"],"b":{}, "c":[] })", " 12 ", "\"\"", "[[[]]]",
+        "", "{", "[1,]", "{\"a\"}", "{\"a\":1,}", "01", "1.", "-", "1e", "nul", "nulls", "\"\\q\"", "\"\\u12g4\"",
+        "\"\\ud800\"", "\"\x01\"", "1 2", "{} x", "]", "1e999"}) {
+    std::printf("%-72s ", text[0] == '"' && text[1] == '\x01' ? "(control character)" : text);
+    everySplit(text, readJson);
+  }
+  std::printf("%-72s ", "65 levels deep");
+  everySplit(std::string(65, '[') + std::string(65, ']'), readJson);
+}
+
+std::string readHttp(const std::vector<std::string>& parts) {
+  http::Response r(64);
+  std::size_t used = 0;
+  for (const std::string& part : parts) used += r.feed(part);
+  if (!r.whole() && !r.bad()) r.ended();
+  if (r.bad()) return "bad: " + r.why();
+  return std::to_string(r.status()) + " '" + r.body() + "' used " + std::to_string(used) +
+         (r.keepsOpen() ? ", stays open" : ", closes");
+}
+
+void httpReader() {
+  const std::pair<const char*, std::string> cases[] = {
+      {"by length, with the next behind it", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1"},
+      {"no body", "HTTP/1.1 204 No Content\r\n\r\n"},
+      {"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: x\r\n\r\n"},
+      {"to the end of the connection", "HTTP/1.0 200 OK\r\n\r\nall of it"},
+      {"an interim response first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"},
+      {"told to close", "HTTP/1.1 200 OK\r\nconnection: Close\r\ncontent-length: 0\r\n\r\n"},
+      {"bare line ends", "HTTP/1.1 503 \nContent-Length: 2\n\nno"},
+      {"cut off", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhel"},
+      {"a length that is none", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"},
+      {"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"},
+      {"a chunk size that is none", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"},
+      {"a chunk longer than its size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n"},
+      {"another protocol", "SSH-2.0-x\r\n\r\n"},
+      {"a header without a colon", "HTTP/1.1 200 OK\r\nnonsense\r\n\r\n"},
+      {"a body above the limit", "HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n" + std::string(65, 'x')},
+      {"a head above the limit", "HTTP/1.1 200 OK\r\nX: " + std::string(20000, 'x') + "\r\n\r\n"},
+  };
+  for (const auto& [name, text] : cases) {
+    std::printf("%-36s ", name);
+    if (text.size() < 1000)
+      everySplit(text, readHttp);
+    else
+      std::printf("%s\n", readHttp({text}).c_str());
+  }
+}
+
+std::string readMessages(const std::vector<std::string>& parts) {
+  std::string in, said;
+  for (const std::string& part : parts) {
+    in += part;
+    pg::Message m;
+    for (;;) {
+      pg::Framed f = pg::frame(in, 64, m);
+      if (f == pg::Framed::bad) return said + "bad length";
+      if (f == pg::Framed::partial) break;
+      said += m.type;
+      said += "(" + std::to_string(m.payload.size()) + ") ";
+      in.erase(0, m.whole.size());
+    }
+  }
+  return said + std::to_string(in.size()) + " left";
+}
+
+void messages() {
+  std::string good = pg::query("SELECT 1") + pg::ready() + pg::emptyQuery() + "Q";
+  everySplit(good, readMessages);
+  everySplit(std::string("Q\0\0\0\3xxx", 8), readMessages);
+  everySplit(std::string("Q\xff\xff\xff\xff", 5), readMessages);
+  everySplit(std::string("Q\0\0\0\x41", 5), readMessages);
+  std::string hello = pg::startup("web", "orders");
+  std::int32_t code = 0;
+  std::size_t size = 0, cut = 0;
+  while (pg::frameStartup(hello.substr(0, cut), 100, code, size) == pg::Framed::partial) ++cut;
+  std::printf("startup whole at %zu of %zu, version %d\n", cut, hello.size(), code >> 16);
+  std::printf("startup of length 7: %d\n", static_cast<int>(pg::frameStartup(std::string("\0\0\0\7", 4), 100, code, size)));
+  std::string error = pg::error(true, "53300", "no", "250");
+  std::string_view payload = std::string_view(error).substr(5);
+  std::printf("code %s, text %s, detail %s, hint '%s'\n", std::string(pg::errorField(payload, 'C')).c_str(),
+              std::string(pg::errorField(payload, 'M')).c_str(), std::string(pg::errorField(payload, 'D')).c_str(),
+              std::string(pg::errorField(payload, 'H')).c_str());
+  std::printf("damaged: '%s'\n", std::string(pg::errorField("C53300", 'C')).c_str());
+  const std::pair<const char*, std::string> rows[] = {{"good", std::string("\0\1\0\0\0\2ab", 8)},
+                                                      {"null", std::string("\0\1\xff\xff\xff\xff", 6)},
+                                                      {"two columns", std::string("\0\2\0\0\0\1a\0\0\0\1b", 12)},
+                                                      {"cut off", std::string("\0\1\0\0\0\3ab", 8)},
+                                                      {"too long", std::string("\0\1\0\0\0\1ab", 8)},
+                                                      {"nothing", ""}};
+  for (const auto& [name, row] : rows) std::printf("row %s: %d\n", name, pg::oneColumn(row));
+}
+
+void statements() {
+  const char* texts[] = {
+      "SELECT payload FROM entries WHERE ref = '7f' /* id=9b,c=basket,d=480,cluster=2,after=1767225600123 */",
+      "/* cluster = 2 , d=480, c=basket,id=9b,r=1 */ SELECT payload FROM entries WHERE ref = 'a /* d=9 */ ''b';",
+      "INSERT INTO entries VALUES ('7f', '\\x9f') /* id=9b,c=order,d=1,k=5c,cluster=-2,new=x */ -- d=7",
+      "", " ;; ", "/* nothing */", "SELECT 1", "SELECT 1; SELECT 2 /* id=1,c=a,d=1,cluster=1 */",
+      "SELECT 'x /* id=1,c=a,d=1,cluster=1 */", "SELECT 1 /* id=1,c=a,d=1,cluster=1",
+      "SELECT 1 /* id=1,c=a,d=x,cluster=1 */", "SELECT 1 /* id=1,c=a,d=-5,cluster=1 */",
+      "SELECT 1 /* id=1,c=a,d=99999999999999999999,cluster=1 */", "SELECT 1 /* id=1,c=a,d=1 */",
+      "SELECT 1 /* id=1,c=a,d=1,cluster=1,after= */"};
+  for (const char* text : texts) {
+    pg::Fields f;
+    pg::Read read = pg::readStatement(text, f);
+    std::printf("%d %s\n", static_cast<int>(read), text);
+    if (read != pg::Read::good) continue;
+    std::printf("  id=%s c=%s d=%lld cluster=%lld key=%s k=%s after=%lld r=%d\n", std::string(f.id).c_str(),
+                std::string(f.workload).c_str(), static_cast<long long>(*f.waitMs), static_cast<long long>(*f.group),
+                std::string(f.key).c_str(), std::string(f.mark).c_str(), static_cast<long long>(f.afterMs.value_or(0)),
+                f.repeated);
+    std::printf("  %s\n", pg::withWait(text, f.waitAt, f.waitSize, 7).c_str());
+  }
+}
+
+void rosters() {
+  std::string good =
+      R"({"id":"a","addr":"10.1.0.1:1","zone":"z","cell":3,"state":"up","weight":2,"started_ms":5,"access":"writer"})";
+  auto list = [](const std::string& entries) { return "{\"version\":4,\"full\":true,\"servers\":[" + entries + "]}"; };
+  auto with = [&](const char* from, const char* to) {
+    std::string s = good;
+    return list(s.replace(s.find(from), std::strlen(from), to));
+  };
+  for (const std::string& text :
+       {list(good), list(""), list(good + "," + good), with("\"up\"", "\"asleep\""), with("10.1.0.1:1", "10.1.0.1"),
+        with("10.1.0.1:1", "10.1.0.1:0"), with("10.1.0.1:1", "host:1"), with("\"id\":\"a\",", ""),
+        with("\"cell\":3,", ""), with("\"cell\":3", "\"cell\":\"3\""), std::string("[]"),
+        std::string("{\"version\":1,\"full\":true}"), std::string("{\"version\":\"1\",\"full\":true,\"servers\":[]}")}) {
+    json::Value v;
+    std::string why;
+    peers::Roster r;
+    bool read = json::parse(text, v, why) && peers::readRoster(v, r, why);
+    if (read)
+      std::printf("version %lld, %zu entries\n", static_cast<long long>(r.version), r.members.size());
+    else
+      std::printf("bad: %s\n", why.c_str());
+  }
+}
+
+// Input damaged at random, always in the same way: nothing is said but that every reader came to an end.
+void damaged() {
+  std::ranlux24_base chance(7);
+  std::string json = R"({"version":41,"full":true,"servers":[{"id":"s","addr":"1.2.3.4:5","x":[1.5e3,"\u00e4"]}]})";
+  std::string http = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+  std::string text = "SELECT 'k' /* id=9b,c=basket,d=480,cluster=2,after=17 */";
+  std::string wire = pg::query(text) + pg::error(false, "53300", "x") + pg::ready();
+  int bad = 0;
+  for (int k = 0; k < 20000; ++k) {
+    auto hurt = [&](std::string s) {
+      for (int n = 0; n < 3; ++n) {
+        std::size_t at = chance() % s.size();
+        if (chance() % 2)
+          s[at] = static_cast<char>(chance() & 0xff);
+        else
+          s.erase(at, 1);
+      }
+      return s;
+    };
+    bad += readJson({hurt(json)}).rfind("bad", 0) == 0;
+    bad += readHttp({hurt(http)}).rfind("bad", 0) == 0;
+    bad += readMessages({hurt(wire)}).find("bad") != std::string::npos;
+    pg::Fields f;
+    std::string t = hurt(text);
+    if (pg::readStatement(t, f) == pg::Read::good) pg::withWait(t, f.waitAt, f.waitSize, 1);
+    pg::errorField(hurt(wire), 'D'), pg::oneColumn(hurt(wire));
+  }
+  std::printf("some were found bad: %s\n", bad > 0 ? "yes" : "no");
+}
+
+const struct {
+  const char* name;
+  void (*run)();
+} kCases[] = {{"json", jsonReader}, {"http", httpReader}, {"messages", messages},
+              {"statements", statements}, {"rosters", rosters}, {"damaged", damaged}};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  for (const auto& one : kCases)
+    if (argc == 2 && !std::strcmp(argv[1], one.name)) return one.run(), 0;
+  std::fprintf(stderr, "no such case\n");
+  return 1;
+}
