--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -94,20 +94,24 @@
 
 void Toy::kill(int number) {
   Store& s = *stores_[static_cast<std::size_t>(number)];
-  s.alive = false;
   s.listener->close();
   for (sched::Socket* c : s.connections) c->close();
 }
 
 void Toy::revive(int number) {
   Store& s = *stores_[static_cast<std::size_t>(number)];
-  s.alive = true;
   s.startedMs = scheduler_.now().us / 1000;
   s.listener = std::make_unique<sched::Descriptor>(scheduler_, sched::listenOn(loopback(s.port)));
   scheduler_.spawn(acceptStore(number));
   changed(number);
 }
 
+void Toy::hold(int number, bool held) {
+  Store& s = *stores_[static_cast<std::size_t>(number)];
+  s.held = held;
+  for (sched::Socket* c : s.connections) c->in.set();
+}
+
 void Toy::closeIdle(int number) {
   for (sched::Socket* c : stores_[static_cast<std::size_t>(number)]->idle) c->close();
 }
@@ -137,7 +141,7 @@
     std::size_t size = 0;
     pg::Message m;
     std::string out;
-    if (!greeted && pg::frameStartup(in, kMost, code, size) == pg::Framed::whole) {
+    if (!greeted && !store.held && pg::frameStartup(in, kMost, code, size) == pg::Framed::whole) {
       in.erase(0, size);
       greeted = true;
       out = pg::greeting();
--- a/example/toy.h
+++ b/example/toy.h
@@ -31,6 +31,8 @@
   void revive(int store);
   // Closes idle connections to a store.
   void closeIdle(int store);
+  // While held, a store accepts connections but does not greet them.
+  void hold(int store, bool held);
   // What every answer of the list service becomes, once; empty: a proper one.
   void spoilList(std::string raw) { spoiled_ = std::move(raw); }
 
@@ -46,7 +48,7 @@
   struct Store {
     std::uint16_t port = 0;
     int group = 0;
-    bool primary = false, alive = true;
+    bool primary = false, held = false;
     std::string state = "up";
     std::int64_t startedMs = 0;
     int executions = 0;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -164,11 +164,13 @@
     if (m.startedMs > 0) e.started = TimePoint{m.startedMs * 1000};
     stores_.place(e.store, m.address);
     rules_.entry(e, now);
-    log::line("member", "store=%d id=%s group=%lld state=%d primary=%d started_ms=%lld", e.store, m.id.c_str(),
-              static_cast<long long>(m.group), static_cast<int>(m.listed), m.primary,
-              static_cast<long long>(m.startedMs));
+    const char* state = m.listed == Listed::up ? "up" : m.listed == Listed::draining ? "draining" : "gone";
+    log::line("member", "store=%d id=%s group=%lld state=%s primary=%d started_ms=%lld", e.store, m.id.c_str(),
+              static_cast<long long>(m.group), state, m.primary, static_cast<long long>(m.startedMs));
   }
   rules_.listEnds(asked);
+  for (const peers::Member& m : roster.members)
+    if (m.listed != Listed::up) stores_.withdraw(storeIds_.find(m.id));
   book_.touch();
 }
 
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t kMostMessage = 160 * 1024;  // a value of 64 KiB in hex digits, and the rest
 constexpr std::size_t kMostStartup = 10'000;      // as PostgreSQL has it
 constexpr std::size_t kMostAhead = 16 * 1024;     // read while an answer is still owed
+constexpr int kInARow = 16;                       // messages of one client before others have their turn
+constexpr std::size_t kTurning = 8;               // clients turned away at once; the next waits to be accepted
 
 }  // namespace
 
@@ -80,6 +82,10 @@
 
 sched::Task<> Clients::accept() {
   while (listener_->open()) {
+    if (turning_ >= kTurning) {
+      co_await listener_->in.wait(scheduler_.now() + limits_.linger);
+      continue;
+    }
     bool full = false;
     int fd = sched::acceptOn(listener_->fd(), full);
     if (fd < 0) {
@@ -94,7 +100,7 @@
       continue;
     }
     bool turnAway = sessions_.size() >= limits_.sessions && !closeLongestIdle();
-    if (turnAway) log::line("client_turned_away", "sessions=%zu", sessions_.size());
+    if (turnAway) log::line("client_turned_away", "sessions=%zu", sessions_.size()), ++turning_;
     auto s = std::make_unique<Session>(scheduler_, fd);
     sessions_.push_back(s.get());
     s->place = std::prev(sessions_.end());
@@ -105,6 +111,7 @@
 sched::Task<> Clients::serve(std::unique_ptr<Session> owned, bool turnAway) {
   Session& s = *owned;
   bool greeted = false, ending = false;
+  int inARow = 0;
   if (turnAway) s.out = pg::error(true, "53300", "too many clients"), ending = true;
   while (!ending && s.socket.open()) {
     // Startup.
@@ -148,10 +155,10 @@
     }
     if (f == pg::Framed::partial) {
       bool idle = greeted && s.left().empty();
-      if (idle && away_) break;
       sched::Socket::Got got = s.more(kMostMessage + 1);
       if (got == sched::Socket::Got::some) continue;
-      if (got == sched::Socket::Got::ended) break;
+      if (got == sched::Socket::Got::ended || (idle && away_)) break;
+      inARow = 0;
       if (idle) {
         idle_.push_back(&s);
         s.idlePlace = std::prev(idle_.end());
@@ -162,6 +169,12 @@
       if (!set) break;
       continue;
     }
+    if (++inARow > kInARow) {
+      // Danger: a client that sends without end would keep all others waiting.
+      inARow = 0;
+      sched::Event turn(scheduler_);
+      co_await turn.wait(scheduler_.now() + Span{1});
+    }
     if (m.type == 'X') break;
     if (m.type != 'Q') {
       // Only simple queries are spoken; what follows an extended one up to its Sync is passed over.
@@ -220,6 +233,7 @@
   }
   if (s.idle) idle_.erase(s.idlePlace);
   sessions_.erase(s.place);
+  if (turnAway) --turning_;
 }
 
 }  // namespace reedchute::peers
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -54,6 +54,7 @@
   std::list<Session*> sessions_;
   std::list<Session*> idle_;  // the one idle longest first
   bool away_ = false;
+  std::size_t turning_ = 0;  // clients that are being turned away
 };
 
 }  // namespace reedchute::peers
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 #include "log/log.h"
 
@@ -242,6 +243,12 @@
   // One that waits for a connection is passed over when its turn comes.
 }
 
+void Stores::withdraw(int store) {
+  // Danger: a connection may come up as late as the grace ends.
+  for (std::deque<Job*> left = std::exchange(pools_[static_cast<std::size_t>(store)].waiting, {}); Job* j : left)
+    finish(j, Ending::moot);
+}
+
 void Stores::release(int store) {
   if (static_cast<std::size_t>(store) >= pools_.size()) return;
   for (Connection* c : pools_[static_cast<std::size_t>(store)].idle) c->socket.close();
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -57,6 +57,8 @@
   Job* give(std::unique_ptr<Job> job);
   // Stops waiting: ends its connection if it was written to one.
   void cancel(Job* job);
+  // The list says that a store drains or is gone: what still waits for a connection to it is not sent.
+  void withdraw(int store);
   // Closes the idle connections of one store.
   void release(int store);
   std::size_t connections() const { return connections_.size(); }
--- a/src/sched/socket.cpp
+++ b/src/sched/socket.cpp
@@ -139,7 +139,7 @@
 }
 
 Task<bool> connected(Socket& s, TimePoint until) {
-  for (;;) {
+  while (s.open()) {
     bool ready = co_await s.out.wait(until);
     if (!ready || !s.open()) co_return false;
     int error = 0;
@@ -150,6 +150,7 @@
     length = sizeof peer;
     if (getpeername(s.fd(), reinterpret_cast<sockaddr*>(&peer), &length) == 0) co_return true;
   }
+  co_return false;
 }
 
 }  // namespace reedchute::sched
--- a/src/stages/relay.cpp
+++ b/src/stages/relay.cpp
@@ -13,7 +13,7 @@
 
 void Relay::rejected(Asker& asker, Span comeBack) {
   std::string back = comeBack > Span{} ? std::to_string(comeBack.us / 1000) : std::string();
-  asker.answer(pg::error(false, "53300", "rejected: it has not run, try again later", back) + pg::ready());
+  asker.answer(pg::error(false, "53300", "rejected: trying again does no harm", back) + pg::ready());
 }
 
 // Danger: 53300 and 57P03 tell a client that trying again is harmless, and here it may not be.
--- a/src/stages/take_in.cpp
+++ b/src/stages/take_in.cpp
@@ -1,5 +1,6 @@
 #include "stages/take_in.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "log/log.h"
@@ -56,7 +57,8 @@
   a.giveUpAt = now + Span{*f.waitMs * 1000};
   a.session = sessionOf(f.key);
   a.repeated = f.repeated;
-  if (f.afterMs) a.sinceWrite = now - TimePoint{*f.afterMs * 1000};
+  // Danger: a commit's time is rounded up and may lie ahead of this clock; it is a write all the same.
+  if (f.afterMs) a.sinceWrite = std::max(Span{1}, now - TimePoint{*f.afterMs * 1000});
   taken.statement.text = text;
   taken.statement.waitAt = f.waitAt, taken.statement.waitSize = f.waitSize;
   return std::nullopt;
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -297,6 +297,18 @@
   d.toy.setState(1, "up");
   d.until("told", [&] { return d.logged("version=4"); });
   count("up again");
+  d.toy.hold(1, true), d.toy.closeIdle(1);
+  int had = d.toy.executions(1);
+  c.send(pg::query(Client::read("b")));
+  d.pass(20);
+  d.toy.setState(1, "draining");
+  d.until("told", [&] { return d.logged("version=5"); });
+  d.toy.hold(1, false);
+  std::printf("it drains while a statement waits for its connection: %s\n", c.get().c_str());
+  d.pass(100);
+  std::printf("sent to it then: %d\n", d.toy.executions(1) - had);
+  d.toy.setState(1, "up");
+  d.until("told", [&] { return d.logged("version=6"); });
   for (const char* raw :
        {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnone", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 47\r\n\r\n{\"version\":9,\"full\":true,\"servers\":[{\"id\":\"x\"}]}"}) {
@@ -339,6 +351,11 @@
   old.send(std::string("\0\0\0\x08\0\2\0\0", 8));
   std::printf("version 2: %s\n", old.get().c_str());
   std::printf("%d were sent in all\n", d.sent);
+  Client flood(d);
+  std::string many;
+  for (int k = 0; k < 100'000; ++k) many += pg::query("");
+  flood.socket->write(many);
+  c.asks("while another sends without end", Client::read("d"));
   c.asks("the first connection still serves", Client::read("c"));
 }
 
