A log that nobody reads can't stop the front; a moved store's idle connections are closed

Read over for dangers: the log is a pipe, and a full one would hold up every statement (test logStands: without the mend no client gets a connection). A store listed at a new address kept idle connections to the old one. A list that must be asked for waited a pause in which the module's next ask could be lost; it now waits for that alone (test asked).

--- a/src/front/main.cpp
+++ b/src/front/main.cpp
@@ -4,8 +4,10 @@
 #include <exception>
 
 #include "front/front.h"
+#include "log/log.h"
 
 int main() {
+  reedchute::log::neverBlock();
   try {
     reedchute::front::Front front(reedchute::front::readGiven(std::getenv("LB_CONFIG")));
     front.run();
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,5 +1,8 @@
 #include "log/log.h"
 
+#include <fcntl.h>
+#include <sys/stat.h>
+
 #include <array>
 #include <cstdarg>
 #include <cstdio>
@@ -32,6 +35,13 @@
 
 }  // namespace
 
+void neverBlock() {
+  struct stat s {};
+  // A terminal or file stays as it is: its flags may be shared with other programs.
+  if (fstat(2, &s) == 0 && (S_ISFIFO(s.st_mode) || S_ISSOCK(s.st_mode)))
+    fcntl(2, F_SETFL, fcntl(2, F_GETFL) | O_NONBLOCK);
+}
+
 void clock(TimePoint now) { now_ = now; }
 
 void line(const char* event, const char* format, ...) {
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -8,6 +8,10 @@
 
 namespace reedchute::log {
 
+// Lines that a full pipe can't take are lost from now on. Danger: whoever reads the log may stand still, and the
+// front would stand still with it.
+void neverBlock();
+
 // The clock that lines are stamped and limited by; set once a round.
 void clock(TimePoint now);
 
--- a/src/peers/list.cpp
+++ b/src/peers/list.cpp
@@ -91,9 +91,12 @@
     Call whole = co_await call(!known_);
     // A watch goes on for as long as each next call follows the last answer at once.
     while (whole == Call::good) whole = co_await call(!known_);
-    if (terms_.onDemand) listener_.listFailed();
-    // Danger: a service that fails at once would be called in a loop.
-    co_await asked_.wait(scheduler_.now() + terms_.pause);
+    if (terms_.onDemand) {
+      listener_.listFailed();  // and the module says when to call again
+    } else {
+      // Danger: a service that fails at once would be called in a loop.
+      co_await asked_.wait(scheduler_.now() + terms_.pause);
+    }
   }
 }
 
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -216,7 +216,11 @@
 
 void Stores::place(int store, const sockaddr_in& address) {
   if (static_cast<std::size_t>(store) >= pools_.size()) pools_.resize(static_cast<std::size_t>(store) + 1);
-  pools_[static_cast<std::size_t>(store)].address = address;
+  Pool& pool = pools_[static_cast<std::size_t>(store)];
+  bool moved = pool.address && (pool.address->sin_addr.s_addr != address.sin_addr.s_addr ||
+                                pool.address->sin_port != address.sin_port);
+  pool.address = address;
+  if (moved) release(store);  // danger: what still answers at the old address is not this store
 }
 
 Job* Stores::give(std::unique_ptr<Job> job) {
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -52,7 +52,7 @@
   Stores(sched::Scheduler& s, Giver& giver, Limits limits);
   ~Stores();
 
-  // Where a store is reached; a new address holds for connections made from then on.
+  // Where a store is reached. Idle connections to another address are closed.
   void place(int store, const sockaddr_in& address);
   Job* give(std::unique_ptr<Job> job);
   // Stops waiting: ends its connection if it was written to one.
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -65,9 +65,12 @@
 
 class Drive {
  public:
-  explicit Drive(int stores, int sockets = 256) : toy(s) {
+  explicit Drive(int stores, int sockets = 256, const char* mode = "automatic", const char* firstList = "",
+                 bool logStands = false)
+      : toy(s), mode_(mode), logStands_(logStands) {
     for (int k = 0; k < stores; ++k) toy.addStore(k == 0, 7);
     listPort_ = toy.serveList();
+    toy.spoilList(firstList);
     toy.seen = [this](int store, const std::string& text) {
       ++sent;
       if (show) std::printf("  store %d sees: %s\n", store, text.substr(0, text.find(",d=")).c_str());
@@ -85,11 +88,20 @@
     if (file < 0) throw std::runtime_error("no temporary file");
     close(file);
     path_ = name;
-    std::ofstream(path_) << "{\"name\":\"t\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" << listPort_
+    std::string settings = kSettings;
+    settings.replace(settings.find("automatic"), 9, mode_);
+    if (logStands_) {  // the port can't be read from the log then: one that was free a moment ago
+      int probe = sched::listenOn(*sched::parseAddress("127.0.0.1:0", true));
+      port = static_cast<std::uint16_t>(sched::portOf(probe));
+      close(probe);
+    }
+    std::ofstream(path_) << "{\"name\":\"t\",\"listen\":\"127.0.0.1:" << port << "\",\"discovery\":\"127.0.0.1:" << listPort_
                          << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" << sockets
-                         << "},\"known\":" << toy.roster(true) << ",\"settings\":" << kSettings << "}";
+                         << "},\"known\":" << toy.roster(true) << ",\"settings\":" << settings << "}";
     int fds[2];
     if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds) < 0) throw std::runtime_error("no socketpair");
+    while (logStands_ && send(fds[1], "full", 4, MSG_DONTWAIT) > 0) {
+    }
     child_ = fork();
     if (child_ == 0) {
       dup2(fds[1], 2);
@@ -100,6 +112,7 @@
     close(fds[1]);
     fcntl(fds[0], F_SETFL, O_NONBLOCK);
     log_ = std::make_unique<Socket>(s, fds[0]);
+    if (logStands_) return pass(300);
     until("the front listens", [&] { return logged("listening port="); });
     port = static_cast<std::uint16_t>(std::atoi(log.c_str() + log.find("listening port=") + 15));
     until("the list is read", [&] { return logged(" list version="); });
@@ -140,6 +153,8 @@
 
  private:
   std::uint16_t listPort_ = 0;
+  std::string mode_;
+  bool logStands_;
   pid_t child_ = -1;
   std::string path_;
   std::unique_ptr<Socket> log_;
@@ -321,6 +336,27 @@
   }
 }
 
+void asked() {
+  Drive d(2, 256, "subscribe", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+  std::printf("the first call failed: %s\n", d.logged("list_bad") ? "yes" : "no");
+  d.toy.setState(1, "draining");
+  d.until("told", [&] { return d.logged("version=2"); });
+  d.log.clear();
+  d.toy.spoilList("nonsense\r\n\r\n");
+  d.toy.setState(1, "up");
+  d.until("the watch breaks", [&] { return d.logged("list_bad"); });
+  bool told = d.until("told", [&] { return d.logged("version=3"); });
+  std::printf("a broken watch is asked for anew: %s\n", told ? "yes" : "no");
+  Client(d).asks("and a read", Client::read("a"));
+}
+
+void logStands() {
+  Drive d(2, 256, "automatic", "", true);
+  Client c(d);
+  for (int k = 0; k < 20; ++k) c.ask("no statement");
+  c.asks("nobody reads the log", Client::read("a"));
+}
+
 void badInput() {
   Drive d(2);
   Client c(d);
@@ -413,7 +449,7 @@
   const char* name;
   void (*run)();
 } kCases[] = {{"completed", completed}, {"outcomes", outcomes}, {"writes", writes}, {"connections", connections},
-              {"drains", drains}, {"badInput", badInput}, {"crowd", crowd}, {"leaves", leaves}};
+              {"drains", drains}, {"asked", asked}, {"logStands", logStands}, {"badInput", badInput}, {"crowd", crowd}, {"leaves", leaves}};
 
 }  // namespace
 
