--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -178,7 +178,8 @@
 }
 
 // What becomes of a statement is the first word of its key: ok, miss, full, error, stale, break (after it was
-// taken), silent, half (a row cut off), garbage, twice (a row too many), or slow and a number of milliseconds.
+// taken), silent, half (a row cut off), garbage, long (a message without end), twice (a row too many), more
+// (a row after the answer), or slow and a number of milliseconds.
 sched::Task<bool> Toy::doStatement(int number, sched::Socket& s, std::string text) {
   Store& store = *stores_[static_cast<std::size_t>(number)];
   pg::Fields f;
@@ -223,6 +224,10 @@
     co_return false;
   } else if (word == "garbage") {
     out = std::string("\x01\xff\xff\xff\xff garbage");
+  } else if (word == "long") {
+    out = std::string("T\x7f\0\0\0 long", 10);
+  } else if (word == "more") {
+    out = row("value of more") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready() + row("unasked");
   } else if (word == "twice") {
     out = row("one") + row("two") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
   } else {
--- a/src/peers/list.cpp
+++ b/src/peers/list.cpp
@@ -138,8 +138,12 @@
 }
 
 sched::Task<bool> List::exchange(const std::string& path, TimePoint until, std::string& body) {
-  bool fresh = !socket_ || !socket_->open();
-  if (fresh) {
+  if (socket_ && socket_->open()) {
+    // A kept connection that the service has closed meanwhile is noticed before it is used.
+    in_.clear();
+    if (socket_->read(in_, kMostBody) != sched::Socket::Got::nothing) socket_->close();
+  }
+  if (!socket_ || !socket_->open()) {
     in_.clear();
     socket_.emplace(scheduler_, sched::startConnect(service_));
     bool up = co_await sched::connected(*socket_, std::min(until, scheduler_.now() + terms_.pause));
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::size_t kMostMessage = 256 * 1024;  // a value of 64 KiB, even written as hex digits, fits twice
-constexpr std::size_t kMostStartup = 64 * 1024;
 
 std::optional<double> numberIn(std::string_view text) {
   double value = 0;
@@ -60,6 +59,14 @@
   }
   void drop() { in.erase(0, used), used = 0; }
 
+  // Between jobs: is it still open, and has nothing come that a job's answer could be mistaken for?
+  bool quiet() {
+    if (socket.read(in, kMostMessage) == sched::Socket::Got::ended) return false;
+    pg::Message m;
+    while (take(m) == Seen::good && (m.type == 'S' || m.type == 'N')) drop();
+    return in.empty();
+  }
+
   // The next message, in `in` until drop(); false where the connection ended or the time came first.
   sched::Task<bool> next(pg::Message& m, TimePoint until) {
     for (;;) {
@@ -336,18 +343,13 @@
       while (alive && !conn.job) {
         bool set = co_await conn.socket.in.wait(until);
         if (conn.job) break;
-        alive = set && conn.socket.read(conn.in, kMostStartup) != sched::Socket::Got::ended;
-        pg::Message m;
-        while (alive && conn.take(m) == Connection::Seen::good) {
-          alive = m.type == 'S' || m.type == 'N';  // anything else was not asked for
-          conn.drop();
-        }
+        alive = set && conn.quiet();
       }
       if (!conn.job) std::erase(pools_[static_cast<std::size_t>(store)].idle, &conn);
       if (!alive) break;
     }
-    // What the store sent or ended while the connection was idle shows before the job is written.
-    if (conn.socket.read(conn.in, kMostStartup) == sched::Socket::Got::ended) {
+    // Danger: what the store sent unasked would pass for the answer, and what it ended would lose the job.
+    if (!conn.quiet()) {
       if (conn.job->cancelled) break;
       Job* j = conn.job;
       conn.job = nullptr, j->on = nullptr;
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -247,13 +247,17 @@
 // Each on a front of its own, so that none bears another's blocks and limits.
 void outcomes() {
   for (const char* key : {"error-ok", "full-ok", "miss-ok", "break-ok", "silent-ok", "half-ok", "garbage-ok",
-                          "twice-ok", "away-ok"}) {
+                          "twice-ok", "long-ok", "away-ok"}) {
     Drive d(3);
     Client c(d);
     for (int k = 0; k < 40; ++k) c.ask(Client::read("ok"));  // these earn the second execution of a silent one
     c.asks(key, Client::read(key));
   }
   Drive d(3);
+  Drive one(1);
+  Client c(one);
+  c.asks("more than was asked for", Client::read("more"));
+  c.asks("the next one gets its own", Client::read("ok"));
   std::printf("full everywhere: %s\n", Client(d).ask(Client::read("full")).c_str());
 }
 
