--- a/example/main.cpp
+++ b/example/main.cpp
@@ -17,10 +17,15 @@
 int serve() {
   sched::Scheduler s;
   toy::Toy toy(s);
-  for (std::uint16_t k = 0; k < 3; ++k) toy.addStore(k == 0, 1, static_cast<std::uint16_t>(kFirstStorePort + k));
+  for (std::uint16_t k = 0; k < 3; ++k)
+    toy.addStore(k == 0, 1, static_cast<std::uint16_t>(kFirstStorePort + k));
   toy.serveList(kListPort);
   toy.seen = [](int store, const std::string& text) {
-    std::printf("%s sees: %s\n", store == 0 ? "primary  " : store == 1 ? "replica 1" : "replica 2", text.c_str());
+    std::printf("%s sees: %s\n",
+                store == 0   ? "primary  "
+                : store == 1 ? "replica 1"
+                             : "replica 2",
+                text.c_str());
   };
   std::printf("a primary and two replicas at 127.0.0.1:%d to %d, their list at %d\n", kFirstStorePort,
               kFirstStorePort + 2, kListPort);
@@ -39,9 +44,10 @@
   }
   std::string id = std::to_string(s.now().us);
   std::string comment = " /* id=" + id + ",c=" + workload + ",d=3000,cluster=1";
-  std::string text = workload == "write" ? "INSERT INTO entries (ref, payload) VALUES ('" + key +
-                                               "', '\\x00') RETURNING payload" + comment + ",k=" + id + " */"
-                                         : "SELECT payload FROM entries WHERE ref = '" + key + "'" + comment + " */";
+  std::string text = workload == "write"
+                         ? "INSERT INTO entries (ref, payload) VALUES ('" + key +
+                               "', '\\x00') RETURNING payload" + comment + ",k=" + id + " */"
+                         : "SELECT payload FROM entries WHERE ref = '" + key + "'" + comment + " */";
   bool sent = co_await sched::writeAll(socket, pg::startup("web", "orders") + pg::query(text), until);
   TimePoint begun = s.now();
   std::string in;
@@ -52,7 +58,8 @@
       double ms = (s.now() - begun).seconds() * 1000;
       if (m.type == 'Z') ++readies;
       if (m.type == 'D') {
-        std::printf("completed in %.1f ms: %s\n", ms, std::string(pg::firstColumn(m.payload).value_or("NULL")).c_str());
+        std::printf("completed in %.1f ms: %s\n", ms,
+                    std::string(pg::firstColumn(m.payload).value_or("NULL")).c_str());
         status = 0;
       }
       if (m.type == 'E') {
--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -28,7 +28,8 @@
 std::string row(const std::string& value) {
   std::string described("\0\1payload\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\1", 28);
   std::string data("\0\1", 2);
-  for (int shift = 24; shift >= 0; shift -= 8) data.push_back(static_cast<char>(value.size() >> shift & 0xff));
+  for (int shift = 24; shift >= 0; shift -= 8)
+    data.push_back(static_cast<char>(value.size() >> shift & 0xff));
   return pg::message('T', described) + pg::message('D', data + value);
 }
 
@@ -64,15 +65,16 @@
 std::string Toy::member(int number) const {
   const Store& s = *stores_[static_cast<std::size_t>(number)];
   return "{\"id\":\"" + idOf(number) + "\",\"addr\":\"127.0.0.1:" + std::to_string(s.port) +
-         "\",\"zone\":\"a\",\"kind\":\"toy\",\"cell\":" + std::to_string(s.group) + ",\"state\":\"" + s.state +
-         "\",\"weight\":1.0,\"started_ms\":" + std::to_string(s.startedMs) + ",\"access\":\"" +
+         "\",\"zone\":\"a\",\"kind\":\"toy\",\"cell\":" + std::to_string(s.group) + ",\"state\":\"" +
+         s.state + "\",\"weight\":1.0,\"started_ms\":" + std::to_string(s.startedMs) + ",\"access\":\"" +
          (s.primary ? "writer" : "reader") + "\"}";
 }
 
 std::string Toy::roster(bool full) const {
   std::string entries;
   for (int k = 0; k < static_cast<int>(stores_.size()); ++k)
-    if (stores_[static_cast<std::size_t>(k)]->state != "removed") entries += (entries.empty() ? "" : ",") + member(k);
+    if (stores_[static_cast<std::size_t>(k)]->state != "removed")
+      entries += (entries.empty() ? "" : ",") + member(k);
   return "{\"version\":" + std::to_string(version_) + ",\"full\":" + (full ? "true" : "false") +
          ",\"servers\":[" + entries + "]}";
 }
@@ -227,7 +229,8 @@
   } else if (word == "long") {
     out = std::string("T\x7f\0\0\0 long", 10);
   } else if (word == "more") {
-    out = row("value of more") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready() + row("unasked");
+    out = row("value of more") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready() +
+          row("unasked");
   } else if (word == "twice") {
     out = row("one") + row("two") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
   } else {
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -11,7 +11,8 @@
 namespace reedchute::front {
 namespace {
 
-// Descriptors: a reserve for the list, the signals, the log and the like; of the rest, a third is the stores'.
+// Descriptors: a reserve for the list, the signals, the log and the like; of the rest, a third is the
+// stores'.
 constexpr std::size_t kReserve = 24;
 constexpr std::size_t kStorePart = 3;
 // PROTOCOL: after SIGTERM clients keep coming for 0.2 to 0.4 s, and what arrives up to 0.7 s after it counts.
@@ -165,8 +166,9 @@
     stores_.place(e.store, m.address);
     rules_.entry(e, now);
     const char* state = m.listed == Listed::up ? "up" : m.listed == Listed::draining ? "draining" : "gone";
-    log::line("member", "store=%d id=%s group=%lld state=%s primary=%d started_ms=%lld", e.store, m.id.c_str(),
-              static_cast<long long>(m.group), state, m.primary, static_cast<long long>(m.startedMs));
+    log::line("member", "store=%d id=%s group=%lld state=%s primary=%d started_ms=%lld", e.store,
+              m.id.c_str(), static_cast<long long>(m.group), state, m.primary,
+              static_cast<long long>(m.startedMs));
   }
   rules_.listEnds(asked);
   for (const peers::Member& m : roster.members)
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -22,8 +22,8 @@
 enum class Phase {
   starting,  // the known list is told to the module, nothing listens yet
   serving,
-  leaving,   // told to end: still serving whoever comes, as clients hear of it late
-  closing,   // no new clients; idle ones are sent away, what was taken gets its answer
+  leaving,  // told to end: still serving whoever comes, as clients hear of it late
+  closing,  // no new clients; idle ones are sent away, what was taken gets its answer
   ended,
 };
 
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -9,7 +9,9 @@
 
 bool blank(char c) { return c == ' ' || c == '\t' || c == '\n' || c == '\r'; }
 
-bool inNumber(char c) { return (c >= '0' && c <= '9') || c == '-' || c == '+' || c == '.' || c == 'e' || c == 'E'; }
+bool inNumber(char c) {
+  return (c >= '0' && c <= '9') || c == '-' || c == '+' || c == '.' || c == 'e' || c == 'E';
+}
 
 // JSON's own form of a number, which is narrower than what from_chars takes.
 bool wellFormed(std::string_view t) {
--- a/src/json/json.h
+++ b/src/json/json.h
@@ -32,7 +32,21 @@
   Value take() { return std::move(root_); }
 
  private:
-  enum class State { value, firstItem, firstName, name, colon, comma, text, escape, hex, number, word, done, bad };
+  enum class State {
+    value,
+    firstItem,
+    firstName,
+    name,
+    colon,
+    comma,
+    text,
+    escape,
+    hex,
+    number,
+    word,
+    done,
+    bad
+  };
   struct Level {
     Value value;
     std::string name;  // of the member that is being read
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t kMostStartup = 10'000;      // as PostgreSQL has it
 constexpr std::size_t kMostAhead = 16 * 1024;     // read while an answer is still owed
 constexpr int kInARow = 16;                       // messages of one client before others have their turn
-constexpr std::size_t kTurning = 8;               // clients turned away at once; the next waits to be accepted
+constexpr std::size_t kTurning = 8;  // clients turned away at once; the next waits to be accepted
 
 }  // namespace
 
@@ -53,7 +53,8 @@
   bool idle = false;
 };
 
-Clients::Clients(sched::Scheduler& s, Desk& desk, Limits limits) : scheduler_(s), desk_(desk), limits_(limits) {}
+Clients::Clients(sched::Scheduler& s, Desk& desk, Limits limits)
+    : scheduler_(s), desk_(desk), limits_(limits) {}
 Clients::~Clients() = default;
 
 int Clients::listen(const sockaddr_in& address) {
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -26,8 +26,8 @@
  public:
   struct Limits {
     std::size_t sessions = 0;
-    Span linger;   // that a refused client is given to read why
-    Span patience; // that a client is given to read an answer or to finish a message
+    Span linger;    // that a refused client is given to read why
+    Span patience;  // that a client is given to read an answer or to finish a message
   };
 
   Clients(sched::Scheduler& s, Desk& desk, Limits limits);
--- a/src/peers/list.cpp
+++ b/src/peers/list.cpp
@@ -81,7 +81,12 @@
 }
 
 List::List(sched::Scheduler& s, Listener& listener, sockaddr_in service, std::string host, Terms terms)
-    : scheduler_(s), listener_(listener), service_(service), host_(std::move(host)), terms_(terms), asked_(s) {}
+    : scheduler_(s),
+      listener_(listener),
+      service_(service),
+      host_(std::move(host)),
+      terms_(terms),
+      asked_(s) {}
 
 void List::ask() { asked_.set(); }
 
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -30,7 +30,8 @@
     if (equals == std::string_view::npos) continue;
     std::optional<double> value = numberIn(pair.substr(equals + 1));
     if (!value) continue;
-    // Danger: a store that has no position yet says 0, and no primary; taken for a report it would hide the one.
+    // Danger: a store that has no position yet says 0, and no primary; taken for a report it would hide the
+    // one.
     if (pair.substr(0, equals) == "x0" && *value > 0)
       report.position = TimePoint{static_cast<std::int64_t>(*value * 1e6)};
     if (pair.substr(0, equals) == "x1") report.primary = *value > 0.5;
@@ -207,10 +208,10 @@
   }
   if (garbled) log::line("store_garbled", "store=%d", store);
   if (failed) co_return false;  // its word stands, though the connection ended before it was ready again
-  j.ending = j.cancelled               ? Ending::cancelled
-             : complete && !garbled    ? Ending::ok
-             : late                    ? Ending::timeout
-                                       : Ending::reset;
+  j.ending = j.cancelled            ? Ending::cancelled
+             : complete && !garbled ? Ending::ok
+             : late                 ? Ending::timeout
+                                    : Ending::reset;
   co_return false;
 }
 
@@ -256,7 +257,8 @@
 
 void Stores::withdraw(int store) {
   // Danger: a connection may come up as late as the grace ends.
-  for (std::deque<Job*> left = std::exchange(pools_[static_cast<std::size_t>(store)].waiting, {}); Job* j : left)
+  for (std::deque<Job*> left = std::exchange(pools_[static_cast<std::size_t>(store)].waiting, {});
+       Job * j : left)
     finish(j, Ending::moot);
 }
 
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -27,8 +27,8 @@
   bool cancelled = false;
   // what came back
   Ending ending = Ending::moot;
-  std::string row;      // RowDescription, DataRow and CommandComplete as they came
-  std::string value;    // a probe's: the column's text
+  std::string row;    // RowDescription, DataRow and CommandComplete as they came
+  std::string value;  // a probe's: the column's text
   Role role = Role::unknown;
   std::optional<TimePoint> position;
   Report report;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -85,8 +85,8 @@
   }
   if (coarse_) n = epoll_wait(epoll_, events, kEventsAtOnce, static_cast<int>((left.us + 999) / 1000));
   readClock();
-  // Danger: a coroutine may close a descriptor whose events are still in hand, and its number may be used again
-  // at once. So all events of a pass are noted before the first coroutine runs.
+  // Danger: a coroutine may close a descriptor whose events are still in hand, and its number may be used
+  // again at once. So all events of a pass are noted before the first coroutine runs.
   for (int k = 0; k < n; ++k) {
     Descriptor& d = *static_cast<Descriptor*>(events[k].data.ptr);
     if (events[k].events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) d.in.set();
@@ -151,7 +151,8 @@
   event.waiter_ = h;
   event.queued_ = {};
   if (until >= kForever) return;
-  event.timer_ = event.scheduler_.timers_.emplace(std::pair{until, event.scheduler_.timerSeq_++}, &event).first;
+  event.timer_ =
+      event.scheduler_.timers_.emplace(std::pair{until, event.scheduler_.timerSeq_++}, &event).first;
   event.armed_ = true;
 }
 
--- a/src/sched/socket.h
+++ b/src/sched/socket.h
@@ -11,8 +11,8 @@
 
 namespace reedchute::sched {
 
-// "127.0.0.1:5432"; nothing where it is no IPv4 address with a port. Port 0, to listen on a port of the system's
-// choice, only where that is asked for.
+// "127.0.0.1:5432"; nothing where it is no IPv4 address with a port. Port 0, to listen on a port of the
+// system's choice, only where that is asked for.
 std::optional<sockaddr_in> parseAddress(std::string_view text, bool zeroPort = false);
 
 // A listening descriptor. Throws std::runtime_error, naming the address, where it can't be had.
--- a/src/terms/params.h
+++ b/src/terms/params.h
@@ -1,5 +1,5 @@
-// The settings that an instance is handed, by path: classes.0.name and the like. Both the simulator's start line
-// and the front's configuration are brought into this form.
+// The settings that an instance is handed, by path: classes.0.name and the like. Both the simulator's start
+// line and the front's configuration are brought into this form.
 #pragma once
 
 #include <cstdint>
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -13,9 +13,8 @@
 #include <memory>
 #include <stdexcept>
 
-#include "toy.h"
-
 #include "pg/messages.h"
+#include "toy.h"
 
 using namespace reedchute;
 using sched::Socket;
@@ -95,11 +94,13 @@
       port = static_cast<std::uint16_t>(sched::portOf(probe));
       close(probe);
     }
-    std::ofstream(path_) << "{\"name\":\"t\",\"listen\":\"127.0.0.1:" << port << "\",\"discovery\":\"127.0.0.1:" << listPort_
+    std::ofstream(path_) << "{\"name\":\"t\",\"listen\":\"127.0.0.1:" << port
+                         << "\",\"discovery\":\"127.0.0.1:" << listPort_
                          << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" << sockets
                          << "},\"known\":" << toy.roster(true) << ",\"settings\":" << settings << "}";
     int fds[2];
-    if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds) < 0) throw std::runtime_error("no socketpair");
+    if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds) < 0)
+      throw std::runtime_error("no socketpair");
     while (logStands_ && send(fds[1], "full", 4, MSG_DONTWAIT) > 0) {
     }
     child_ = fork();
@@ -194,12 +195,13 @@
     return said + (ended ? (said.empty() ? "closed" : ", closed") : "");
   }
   static std::string read(const std::string& key, int wait = 3000, const char* workload = "any") {
-    return "SELECT payload FROM entries WHERE ref = '" + key + "' /* id=" + std::to_string(++ids) + ",c=" + workload +
-           ",cluster=7,d=" + std::to_string(wait) + " */";
+    return "SELECT payload FROM entries WHERE ref = '" + key + "' /* id=" + std::to_string(++ids) +
+           ",c=" + workload + ",cluster=7,d=" + std::to_string(wait) + " */";
   }
   static std::string write(const std::string& key, int wait = 3000, const char* workload = "write") {
-    return "INSERT INTO entries (ref, payload) VALUES ('" + key + "', '\\x9f') RETURNING payload /* id=" +
-           std::to_string(++ids) + ",c=" + workload + ",k=5c,cluster=7,d=" + std::to_string(wait) + " */";
+    return "INSERT INTO entries (ref, payload) VALUES ('" + key +
+           "', '\\x9f') RETURNING payload /* id=" + std::to_string(++ids) + ",c=" + workload +
+           ",k=5c,cluster=7,d=" + std::to_string(wait) + " */";
   }
   std::string ask(const std::string& text) {
     send(pg::query(text));
@@ -232,7 +234,8 @@
   c.send(pg::query(Client::read("a")) + pg::query("") + pg::query(Client::read("b")));
   std::printf("three at once: %s\n", c.get(3).c_str());
   Client split(d, false);
-  for (char byte : pg::startup("web", "orders") + pg::query(Client::read("c"))) split.send({&byte, 1}), d.pass(1);
+  for (char byte : pg::startup("web", "orders") + pg::query(Client::read("c")))
+    split.send({&byte, 1}), d.pass(1);
   std::printf("byte by byte, the query right behind the startup: %s\n", split.get(2).c_str());
   Client ssl(d, false);
   ssl.send(std::string("\0\0\0\x08\x04\xd2\x16\x2f", 8));
@@ -250,7 +253,8 @@
                           "twice-ok", "long-ok", "away-ok"}) {
     Drive d(3);
     Client c(d);
-    for (int k = 0; k < 40; ++k) c.ask(Client::read("ok"));  // these earn the second execution of a silent one
+    for (int k = 0; k < 40; ++k)
+      c.ask(Client::read("ok"));  // these earn the second execution of a silent one
     c.asks(key, Client::read(key));
   }
   Drive d(3);
@@ -330,11 +334,13 @@
   d.until("told", [&] { return d.logged("version=6"); });
   for (const char* raw :
        {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnone", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 47\r\n\r\n{\"version\":9,\"full\":true,\"servers\":[{\"id\":\"x\"}]}"}) {
+        "HTTP/1.1 200 OK\r\nContent-Length: "
+        "47\r\n\r\n{\"version\":9,\"full\":true,\"servers\":[{\"id\":\"x\"}]}"}) {
     d.log.clear();
     d.toy.spoilList(raw);
     d.toy.setState(1, "up");
-    std::printf("a broken list is %s\n", d.until("logged", [&] { return d.logged("list_bad"); }) ? "logged" : "?");
+    std::printf("a broken list is %s\n",
+                d.until("logged", [&] { return d.logged("list_bad"); }) ? "logged" : "?");
     d.until("the next call", [&] { return d.logged(" list version="); });
     count("and the next call brings");
   }
@@ -376,9 +382,10 @@
   c.asks("and a simple one after it", Client::read("b"));
   c.send(pg::message('Q', "no end"));
   std::printf("a query without its end: %s\n", c.get().c_str());
-  const std::pair<const char*, std::string> fatal[] = {{"an unknown type", pg::message('y', "x")},
-                                                       {"a negative length", std::string("Q\xff\xff\xff\xff", 5)},
-                                                       {"an absurd length", std::string("Q\x7f\0\0\0", 5)}};
+  const std::pair<const char*, std::string> fatal[] = {
+      {"an unknown type", pg::message('y', "x")},
+      {"a negative length", std::string("Q\xff\xff\xff\xff", 5)},
+      {"an absurd length", std::string("Q\x7f\0\0\0", 5)}};
   for (const auto& [what, bytes] : fatal) {
     Client other(d);
     other.send(bytes);
@@ -452,8 +459,10 @@
 const struct {
   const char* name;
   void (*run)();
-} kCases[] = {{"completed", completed}, {"outcomes", outcomes}, {"writes", writes}, {"connections", connections},
-              {"drains", drains}, {"asked", asked}, {"logStands", logStands}, {"badInput", badInput}, {"crowd", crowd}, {"leaves", leaves}};
+} kCases[] = {
+    {"completed", completed}, {"outcomes", outcomes}, {"writes", writes},       {"connections", connections},
+    {"drains", drains},       {"asked", asked},       {"logStands", logStands}, {"badInput", badInput},
+    {"crowd", crowd},         {"leaves", leaves}};
 
 }  // namespace
 
--- a/tests/parsers.cpp
+++ b/tests/parsers.cpp
@@ -59,10 +59,29 @@
 }
 
 void jsonReader() {
-  for (const char* text :
-       {R"({"a":[1,-2.5e3,true,false,null,"x\n\"\u00e4\ud83d\ude00"],"b":{}, "c":[] })", " 12 ", "\"\"", "[[[]]]",
-        "", "{", "[1,]", "{\"a\"}", "{\"a\":1,}", "01", "1.", "-", "1e", "nul", "nulls", "\"\\q\"", "\"\\u12g4\"",
-        "\"\\ud800\"", "\"\x01\"", "1 2", "{} x", "]", "1e999"}) {
+  for (const char* text : {R"({"a":[1,-2.5e3,true,false,null,"x\n\"\u00e4\ud83d\ude00"],"b":{}, "c":[] })",
+                           " 12 ",
+                           "\"\"",
+                           "[[[]]]",
+                           "",
+                           "{",
+                           "[1,]",
+                           "{\"a\"}",
+                           "{\"a\":1,}",
+                           "01",
+                           "1.",
+                           "-",
+                           "1e",
+                           "nul",
+                           "nulls",
+                           "\"\\q\"",
+                           "\"\\u12g4\"",
+                           "\"\\ud800\"",
+                           "\"\x01\"",
+                           "1 2",
+                           "{} x",
+                           "]",
+                           "1e999"}) {
     std::printf("%-72s ", text[0] == '"' && text[1] == '\x01' ? "(control character)" : text);
     everySplit(text, readJson);
   }
@@ -84,16 +103,19 @@
   const std::pair<const char*, std::string> cases[] = {
       {"by length, with the next behind it", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1"},
       {"no body", "HTTP/1.1 204 No Content\r\n\r\n"},
-      {"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: x\r\n\r\n"},
+      {"chunked",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: x\r\n\r\n"},
       {"to the end of the connection", "HTTP/1.0 200 OK\r\n\r\nall of it"},
-      {"an interim response first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"},
+      {"an interim response first",
+       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"},
       {"told to close", "HTTP/1.1 200 OK\r\nconnection: Close\r\ncontent-length: 0\r\n\r\n"},
       {"bare line ends", "HTTP/1.1 503 \nContent-Length: 2\n\nno"},
       {"cut off", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhel"},
       {"a length that is none", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"},
       {"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"},
       {"a chunk size that is none", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"},
-      {"a chunk longer than its size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n"},
+      {"a chunk longer than its size",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n"},
       {"another protocol", "SSH-2.0-x\r\n\r\n"},
       {"a header without a colon", "HTTP/1.1 200 OK\r\nnonsense\r\n\r\n"},
       {"a body above the limit", "HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n" + std::string(65, 'x')},
@@ -136,31 +158,42 @@
   std::size_t size = 0, cut = 0;
   while (pg::frameStartup(hello.substr(0, cut), 100, code, size) == pg::Framed::partial) ++cut;
   std::printf("startup whole at %zu of %zu, version %d\n", cut, hello.size(), code >> 16);
-  std::printf("startup of length 7: %d\n", static_cast<int>(pg::frameStartup(std::string("\0\0\0\7", 4), 100, code, size)));
+  std::printf("startup of length 7: %d\n",
+              static_cast<int>(pg::frameStartup(std::string("\0\0\0\7", 4), 100, code, size)));
   std::string error = pg::error(true, "53300", "no", "250");
   std::string_view payload = std::string_view(error).substr(5);
   std::printf("code %s, text %s, detail %s, hint '%s'\n", std::string(pg::errorField(payload, 'C')).c_str(),
-              std::string(pg::errorField(payload, 'M')).c_str(), std::string(pg::errorField(payload, 'D')).c_str(),
+              std::string(pg::errorField(payload, 'M')).c_str(),
+              std::string(pg::errorField(payload, 'D')).c_str(),
               std::string(pg::errorField(payload, 'H')).c_str());
   std::printf("damaged: '%s'\n", std::string(pg::errorField("C53300", 'C')).c_str());
-  const std::pair<const char*, std::string> rows[] = {{"good", std::string("\0\1\0\0\0\2ab", 8)},
-                                                      {"null", std::string("\0\1\xff\xff\xff\xff", 6)},
-                                                      {"two columns", std::string("\0\2\0\0\0\1a\0\0\0\1b", 12)},
-                                                      {"cut off", std::string("\0\1\0\0\0\3ab", 8)},
-                                                      {"too long", std::string("\0\1\0\0\0\1ab", 8)},
-                                                      {"nothing", ""}};
+  const std::pair<const char*, std::string> rows[] = {
+      {"good", std::string("\0\1\0\0\0\2ab", 8)},
+      {"null", std::string("\0\1\xff\xff\xff\xff", 6)},
+      {"two columns", std::string("\0\2\0\0\0\1a\0\0\0\1b", 12)},
+      {"cut off", std::string("\0\1\0\0\0\3ab", 8)},
+      {"too long", std::string("\0\1\0\0\0\1ab", 8)},
+      {"nothing", ""}};
   for (const auto& [name, row] : rows) std::printf("row %s: %d\n", name, pg::oneColumn(row));
 }
 
 void statements() {
   const char* texts[] = {
       "SELECT payload FROM entries WHERE ref = '7f' /* id=9b,c=basket,d=480,cluster=2,after=1767225600123 */",
-      "/* cluster = 2 , d=480, c=basket,id=9b,r=1 */ SELECT payload FROM entries WHERE ref = 'a /* d=9 */ ''b';",
+      "/* cluster = 2 , d=480, c=basket,id=9b,r=1 */ SELECT payload FROM entries WHERE ref = 'a /* d=9 */ "
+      "''b';",
       "INSERT INTO entries VALUES ('7f', '\\x9f') /* id=9b,c=order,d=1,k=5c,cluster=-2,new=x */ -- d=7",
-      "", " ;; ", "/* nothing */", "SELECT 1", "SELECT 1; SELECT 2 /* id=1,c=a,d=1,cluster=1 */",
-      "SELECT 'x /* id=1,c=a,d=1,cluster=1 */", "SELECT 1 /* id=1,c=a,d=1,cluster=1",
-      "SELECT 1 /* id=1,c=a,d=x,cluster=1 */", "SELECT 1 /* id=1,c=a,d=-5,cluster=1 */",
-      "SELECT 1 /* id=1,c=a,d=99999999999999999999,cluster=1 */", "SELECT 1 /* id=1,c=a,d=1 */",
+      "",
+      " ;; ",
+      "/* nothing */",
+      "SELECT 1",
+      "SELECT 1; SELECT 2 /* id=1,c=a,d=1,cluster=1 */",
+      "SELECT 'x /* id=1,c=a,d=1,cluster=1 */",
+      "SELECT 1 /* id=1,c=a,d=1,cluster=1",
+      "SELECT 1 /* id=1,c=a,d=x,cluster=1 */",
+      "SELECT 1 /* id=1,c=a,d=-5,cluster=1 */",
+      "SELECT 1 /* id=1,c=a,d=99999999999999999999,cluster=1 */",
+      "SELECT 1 /* id=1,c=a,d=1 */",
       "SELECT 1 /* id=1,c=a,d=1,cluster=1,after= */"};
   for (const char* text : texts) {
     pg::Fields f;
@@ -168,9 +201,9 @@
     std::printf("%d %s\n", static_cast<int>(read), text);
     if (read != pg::Read::good) continue;
     std::printf("  id=%s c=%s d=%lld cluster=%lld key=%s k=%s after=%lld r=%d\n", std::string(f.id).c_str(),
-                std::string(f.workload).c_str(), static_cast<long long>(*f.waitMs), static_cast<long long>(*f.group),
-                std::string(f.key).c_str(), std::string(f.mark).c_str(), static_cast<long long>(f.afterMs.value_or(0)),
-                f.repeated);
+                std::string(f.workload).c_str(), static_cast<long long>(*f.waitMs),
+                static_cast<long long>(*f.group), std::string(f.key).c_str(), std::string(f.mark).c_str(),
+                static_cast<long long>(f.afterMs.value_or(0)), f.repeated);
     std::printf("  %s\n", pg::withWait(text, f.waitAt, f.waitSize, 7).c_str());
   }
 }
@@ -178,16 +211,19 @@
 void rosters() {
   std::string good =
       R"({"id":"a","addr":"10.1.0.1:1","zone":"z","cell":3,"state":"up","weight":2,"started_ms":5,"access":"writer"})";
-  auto list = [](const std::string& entries) { return "{\"version\":4,\"full\":true,\"servers\":[" + entries + "]}"; };
+  auto list = [](const std::string& entries) {
+    return "{\"version\":4,\"full\":true,\"servers\":[" + entries + "]}";
+  };
   auto with = [&](const char* from, const char* to) {
     std::string s = good;
     return list(s.replace(s.find(from), std::strlen(from), to));
   };
   for (const std::string& text :
-       {list(good), list(""), list(good + "," + good), with("\"up\"", "\"asleep\""), with("10.1.0.1:1", "10.1.0.1"),
-        with("10.1.0.1:1", "10.1.0.1:0"), with("10.1.0.1:1", "host:1"), with("\"id\":\"a\",", ""),
-        with("\"cell\":3,", ""), with("\"cell\":3", "\"cell\":\"3\""), std::string("[]"),
-        std::string("{\"version\":1,\"full\":true}"), std::string("{\"version\":\"1\",\"full\":true,\"servers\":[]}")}) {
+       {list(good), list(""), list(good + "," + good), with("\"up\"", "\"asleep\""),
+        with("10.1.0.1:1", "10.1.0.1"), with("10.1.0.1:1", "10.1.0.1:0"), with("10.1.0.1:1", "host:1"),
+        with("\"id\":\"a\",", ""), with("\"cell\":3,", ""), with("\"cell\":3", "\"cell\":\"3\""),
+        std::string("[]"), std::string("{\"version\":1,\"full\":true}"),
+        std::string("{\"version\":\"1\",\"full\":true,\"servers\":[]}")}) {
     json::Value v;
     std::string why;
     peers::Roster r;
@@ -202,7 +238,8 @@
 // Input damaged at random, always in the same way: nothing is said but that every reader came to an end.
 void damaged() {
   std::ranlux24_base chance(7);
-  std::string json = R"({"version":41,"full":true,"servers":[{"id":"s","addr":"1.2.3.4:5","x":[1.5e3,"\u00e4"]}]})";
+  std::string json =
+      R"({"version":41,"full":true,"servers":[{"id":"s","addr":"1.2.3.4:5","x":[1.5e3,"\u00e4"]}]})";
   std::string http = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
   std::string text = "SELECT 'k' /* id=9b,c=basket,d=480,cluster=2,after=17 */";
   std::string wire = pg::query(text) + pg::error(false, "53300", "x") + pg::ready();
@@ -232,7 +269,7 @@
 const struct {
   const char* name;
   void (*run)();
-} kCases[] = {{"json", jsonReader}, {"http", httpReader}, {"messages", messages},
+} kCases[] = {{"json", jsonReader},       {"http", httpReader}, {"messages", messages},
               {"statements", statements}, {"rosters", rosters}, {"damaged", damaged}};
 
 }  // namespace
--- a/tests/sched.cpp
+++ b/tests/sched.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-void passes(Scheduler& s, int n, const std::function<void()>& ends = [] {}) {
+void passes(
+    Scheduler& s, int n, const std::function<void()>& ends = [] {}) {
   for (int k = 0; k < n; ++k) s.pass(s.now() + Span{20'000}, ends);
 }
 
@@ -76,8 +77,8 @@
   std::printf("%s ended\n", name);
 }
 
-// Danger: the events of one pass may name a descriptor that was closed earlier in it, and whose number is in use
-// again.
+// Danger: the events of one pass may name a descriptor that was closed earlier in it, and whose number is in
+// use again.
 void reused() {
   Scheduler s;
   int one[2], two[2], three[2];
@@ -167,7 +168,8 @@
   Socket refused(s, startConnect(nowhere));
   bool up = co_await connected(refused, s.now() + Span{1'000'000});
   std::printf("a port where nobody listens: %s\n", up ? "connected" : "refused");
-  for (const char* text : {"127.0.0.1:80", "127.0.0.1:0", "127.0.0.1", "127.0.0.1:99999", "host:80", ":80", ""})
+  for (const char* text :
+       {"127.0.0.1:80", "127.0.0.1:0", "127.0.0.1", "127.0.0.1:99999", "host:80", ":80", ""})
     std::printf("'%s' %s\n", text, parseAddress(text) ? "good" : "bad");
 }
 
@@ -184,7 +186,7 @@
   const char* name;
   void (*run)();
 } kCases[] = {{"timers", timers}, {"events", events}, {"reused", reused},
-              {"tasks", tasks}, {"rounds", rounds}, {"sockets", sockets}};
+              {"tasks", tasks},   {"rounds", rounds}, {"sockets", sockets}};
 
 }  // namespace
 
