--- a/src/front/front.h
+++ b/src/front/front.h
@@ -29,7 +29,7 @@
 
 const char* nameOf(Phase p);
 
-class Front : public peers::Desk, public peers::Listener {
+class Front : public peers::Desk, public peers::Keeper {
  public:
   explicit Front(Given given);
 
--- a/src/peers/list.cpp
+++ b/src/peers/list.cpp
@@ -80,36 +80,31 @@
   return true;
 }
 
-List::List(sched::Scheduler& s, Listener& listener, sockaddr_in service, std::string host, Terms terms)
-    : scheduler_(s),
-      listener_(listener),
-      service_(service),
-      host_(std::move(host)),
-      terms_(terms),
-      asked_(s) {}
+List::List(sched::Scheduler& s, Keeper& keeper, sockaddr_in service, std::string host, Pace pace)
+    : scheduler_(s), keeper_(keeper), service_(service), host_(std::move(host)), pace_(pace), asked_(s) {}
 
 void List::ask() { asked_.set(); }
 
 sched::Task<> List::run() {
   for (;;) {
-    if (terms_.onDemand) co_await asked_.wait();
+    if (pace_.onDemand) co_await asked_.wait();
     Call whole = co_await call(!known_);
     // A watch goes on for as long as each next call follows the last answer at once.
     while (whole == Call::good) whole = co_await call(!known_);
-    if (terms_.onDemand) {
-      listener_.listFailed();  // and the module says when to call again
+    if (pace_.onDemand) {
+      keeper_.listFailed();  // and the module says when to call again
     } else {
       // Danger: a service that fails at once would be called in a loop.
-      co_await asked_.wait(scheduler_.now() + terms_.pause);
+      co_await asked_.wait(scheduler_.now() + pace_.pause);
     }
   }
 }
 
 sched::Task<List::Call> List::call(bool whole) {
-  std::int64_t waitMs = std::min(kMostWaitMs, terms_.wait.us / 1000);
+  std::int64_t waitMs = std::min(kMostWaitMs, pace_.wait.us / 1000);
   std::string path = "/catalog/members";
   if (!whole) path += "?index=" + std::to_string(version_) + "&wait=" + std::to_string(waitMs);
-  Span limit = whole ? terms_.wait : terms_.wait * 1.5;
+  Span limit = whole ? pace_.wait : pace_.wait * 1.5;
   std::string body;
   bool got = co_await exchange(path, scheduler_.now() + limit, body);
   if (got && take(body, whole)) co_return Call::good;
@@ -138,7 +133,7 @@
   }
   version_ = roster.version;
   known_ = true;
-  if (roster.full || !roster.members.empty()) listener_.listCame(roster);
+  if (roster.full || !roster.members.empty()) keeper_.listCame(roster);
   return true;
 }
 
@@ -151,7 +146,7 @@
   if (!socket_ || !socket_->open()) {
     in_.clear();
     socket_.emplace(scheduler_, sched::startConnect(service_));
-    bool up = co_await sched::connected(*socket_, std::min(until, scheduler_.now() + terms_.pause));
+    bool up = co_await sched::connected(*socket_, std::min(until, scheduler_.now() + pace_.pause));
     if (!up) {
       log::line("list_away", "what=\"no connection\"");
       co_return false;
--- a/src/peers/list.h
+++ b/src/peers/list.h
@@ -33,21 +33,21 @@
 bool readRoster(const json::Value& from, Roster& into, std::string& why);
 
 // Whoever keeps the list.
-class Listener {
+class Keeper {
  public:
-  virtual ~Listener() = default;
+  virtual ~Keeper() = default;
   virtual void listCame(const Roster& roster) = 0;
   virtual void listFailed() = 0;  // a call that was asked for has failed
 };
 
 class List {
  public:
-  struct Terms {
+  struct Pace {
     Span wait;      // that a watch may be held
     Span pause;     // before a call that failed is made again
     bool onDemand;  // called only when the module asks
   };
-  List(sched::Scheduler& s, Listener& listener, sockaddr_in service, std::string host, Terms terms);
+  List(sched::Scheduler& s, Keeper& keeper, sockaddr_in service, std::string host, Pace pace);
 
   sched::Task<> run();
   void ask();  // where it comes on demand
@@ -59,10 +59,10 @@
   bool take(const std::string& body, bool whole);
 
   sched::Scheduler& scheduler_;
-  Listener& listener_;
+  Keeper& keeper_;
   sockaddr_in service_;
   std::string host_;
-  Terms terms_;
+  Pace pace_;
   sched::Event asked_;
   std::optional<sched::Socket> socket_;
   std::string in_;
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -9,6 +9,7 @@
 namespace reedchute::peers {
 namespace {
 
+constexpr const char *kUser = "web", *kDatabase = "orders";  // as clients give them
 constexpr std::size_t kMostMessage = 256 * 1024;  // a value of 64 KiB, even written as hex digits, fits twice
 
 std::optional<double> numberIn(std::string_view text) {
@@ -116,7 +117,7 @@
 sched::Task<bool> Connection::comeUp(TimePoint until) {
   bool up = co_await sched::connected(socket, until);
   if (!up) co_return false;
-  std::string hello = pg::startup("web", "orders");
+  std::string hello = pg::startup(kUser, kDatabase);
   bool sent = co_await sched::writeAll(socket, hello, until);
   if (!sent) co_return false;
   for (;;) {
@@ -144,7 +145,8 @@
   j.bytes.clear();
   j.bytes.shrink_to_fit();
   if (!written) {
-    j.ending = Ending::connectFailed;
+    // Danger: a job that was called off while it was written says nothing about the store.
+    j.ending = j.cancelled ? Ending::moot : Ending::connectFailed;
     co_return false;
   }
   // Danger: from here on the store may have run it, whatever becomes of the connection.
