--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -240,9 +240,8 @@
   GroupState& g = groups_[st.group];
   std::vector<int> fit, hosting;
   bool known = false, awaited = false, bounded = w.level == Level::bounded;
-  // Danger: a replica may hold up its log while it runs a long read; spread over all, they leave none fresh.
-  // They fill members in list order, the same at every front, and wait a while before they take one more.
-  // Short reads that any may answer go there first too: on a replica that lags they would keep it behind.
+  // Danger: a replica may hold up its log for a long read; spread over all, they leave none fresh. They fill
+  // members in list order and wait before they take one more; short reads that any may answer go there first.
   bool packed = longRead(st.workload), hosted = w.level == Level::any && !packed && anyLongRead();
   int rank = 0, members = static_cast<int>(g.members.size());
   int most = std::max(1, static_cast<int>(members * kLongMembers));
@@ -417,6 +416,9 @@
     if (stores_.down[s]) stores_.dead[s] = 1, blockStore(s, now, true);
     return;
   }
+  // Danger: a store that was only cut off is not cold. A dead primary of several would have lost its role.
+  bool kept = report.position && report.primary.value_or(false) && *report.position > stores_.blockedAt[s];
+  if (kept && groups_[stores_.group[s]].members.size() > 1) stores_.dead[s] = 0;
   if (stores_.down[s]) healed(s, now);
   if (report.position) {
     if (now - *report.position < smallestBound_) probeBudget_ = std::min(kProbesCap, probeBudget_ + 1);
@@ -693,8 +695,7 @@
   stores_.coldFilled[s] = now;
 }
 
-// What this front may send to a cold store, in store seconds. Danger: fronts don't see one another, so each
-// keeps to its own part, measured by what it sends to a member of that group on average.
+// In store seconds. Danger: fronts don't see one another; each keeps to its part by a member's usual work.
 void Rules::fillCold(int s, TimePoint now) {
   if (stores_.group[s] < 0 || warmth(s, now) >= 1) return;
   const GroupState& g = groups_[stores_.group[s]];
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -456,6 +456,27 @@
   b.round();
 }
 
+// Danger: a primary that was cut off for a while, taken for cold, would leave writes waiting for a warm-up.
+void cutOff() {
+  for (bool primary : {true, false}) {
+    Bench b(Bench::terms({kWrite}));
+    b.list(3);
+    int first = b.arrive(0);
+    b.round();
+    b.note(primary ? "the primary is out of reach, then reports as primary: it was cut off, writes go on"
+                   : "it reports as replica: it died, and the new primary gets the writes");
+    b.answer(first, Ending::connectFailed);
+    b.round();
+    b.rules.probed(0, false, {}, b.clock);
+    b.answer(first, Ending::miss, Role::replica, 1);
+    b.pass(1000);
+    b.report(0, 50, primary);
+    if (!primary) b.report(1, 50, true);
+    for (int k = 0; k < 3; ++k) b.arrive(0);
+    b.round();
+  }
+}
+
 const struct {
   const char* name;
   void (*run)();
@@ -469,7 +490,7 @@
     {"deadStore", deadStore}, {"coldDebt", coldDebt}, {"fullTable", fullTable},
     {"readAsLook", readAsLook}, {"probesEarned", probesEarned}, {"repeats", repeats},
     {"standing", standing}, {"manyFronts", manyFronts}, {"tenantShares", tenantShares},
-    {"lateWait", lateWait}, {"sendBy", sendBy},
+    {"lateWait", lateWait}, {"sendBy", sendBy}, {"cutOff", cutOff},
 };
 
 }  // namespace
