One reader of whole numbers in place of eight, one way to a store's pool

Settings, the wire, the comment, HTTP, reports, addresses, the seed and session keys each read a whole text as a number in their own loop; src/base/number.h now serves all. A job whose connection was not quiet goes back to the queue, and the rule that already opens a connection for what waits serves it too. Behaviour and traces as they were.

--- a/src/front/given.cpp
+++ b/src/front/given.cpp
@@ -3,11 +3,12 @@
 #include <sys/resource.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
 
+#include "base/number.h"
+
 namespace reedchute::front {
 namespace {
 
@@ -44,14 +45,13 @@
   g.discovery = addressIn(config, "discovery", false);
   g.discoveryHost = need(config, "discovery", Kind::text).text;
   const std::string& seed = need(config, "seed", Kind::text).text;
-  std::uint64_t seedValue = 0;
-  auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), seedValue, 16);
-  if (seed.empty() || error != std::errc{} || end != seed.data() + seed.size()) badValue("seed", seed);
+  auto seedValue = numberIn<std::uint64_t>(seed, 16);
+  if (!seedValue) badValue("seed", seed);
   if (!peers::readRoster(need(config, "known", Kind::object), g.known, why))
     throw Malformed("the known list makes no sense: " + why);
   Params params;
   params.add("", need(config, "settings", Kind::object));
-  g.terms = termsFrom(params, seedValue, g.names);
+  g.terms = termsFrom(params, *seedValue, g.names);
   g.keepalive = Span{params.integer("limits.keepalive")};
   if (g.keepalive <= g.terms.connectTimeout || g.terms.connectTimeout <= Span{})
     throw Malformed("limits.keepalive must be above limits.connect_timeout, and that above 0");
--- a/src/http/response.cpp
+++ b/src/http/response.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
+
+#include "base/number.h"
 
 namespace reedchute::http {
 namespace {
@@ -21,12 +22,6 @@
   return t;
 }
 
-template <class T>
-bool number(std::string_view text, T& value, int base = 10) {
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
-  return !text.empty() && error == std::errc{} && end == text.data() + text.size();
-}
-
 }  // namespace
 
 void Response::fail(const char* why) {
@@ -83,7 +78,7 @@
 }
 
 bool Response::headLine() {
-  std::uint64_t size = 0;
+  std::optional<std::uint64_t> size;
   switch (state_) {
     case State::head:
       if (!started_) return startLine();
@@ -94,12 +89,13 @@
       break;
     case State::chunkSize:
       headSize_ = 0;
-      if (!number(trimmed(std::string_view(line_).substr(0, line_.find(';'))), size, 16)) {
+      size = numberIn<std::uint64_t>(trimmed(std::string_view(line_).substr(0, line_.find(';'))), 16);
+      if (!size) {
         fail("a broken chunk size");
         return false;
       }
-      left_ = size;
-      state_ = size == 0 ? State::trailer : State::chunkData;
+      left_ = *size;
+      state_ = left_ == 0 ? State::trailer : State::chunkData;
       return true;
     case State::chunkEnd:
       headSize_ = 0;
@@ -123,11 +119,12 @@
   std::string name = lower(std::string_view(line_).substr(0, colon));
   std::string_view value = trimmed(std::string_view(line_).substr(colon + 1));
   if (name == "content-length") {
-    if (!number(value, size) || (hasLength_ && size != left_)) {
+    size = numberIn<std::uint64_t>(value);
+    if (!size || (hasLength_ && *size != left_)) {
       fail("a broken length");
       return false;
     }
-    left_ = size, hasLength_ = true;
+    left_ = *size, hasLength_ = true;
   } else if (name == "transfer-encoding") {
     if (lower(value) != "chunked") {
       fail("an unknown transfer encoding");
@@ -143,11 +140,12 @@
 
 bool Response::startLine() {
   std::string_view t = line_;
-  if (t.size() < 12 || t.substr(0, 7) != "HTTP/1." || t[8] != ' ' || !number(t.substr(9, 3), status_) ||
-      (t.size() > 12 && t[12] != ' ')) {
+  auto status = t.size() < 12 ? std::nullopt : numberIn<int>(t.substr(9, 3));
+  if (!status || t.substr(0, 7) != "HTTP/1." || t[8] != ' ' || (t.size() > 12 && t[12] != ' ')) {
     fail("no HTTP response");
     return false;
   }
+  status_ = *status;
   keepsOpen_ = t[7] != '0';
   started_ = true;
   return true;
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -1,9 +1,9 @@
 #include "peers/stores.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
+#include "base/number.h"
 #include "log/log.h"
 
 namespace reedchute::peers {
@@ -12,13 +12,6 @@
 constexpr const char *kUser = "web", *kDatabase = "orders";  // as clients give them
 constexpr std::size_t kMostMessage = 256 * 1024;  // a value of 64 KiB, even written as hex digits, fits twice
 
-std::optional<double> numberIn(std::string_view text) {
-  double value = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (text.empty() || error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
-  return value;
-}
-
 }  // namespace
 
 Report readReport(std::string_view text) {
@@ -29,7 +22,7 @@
     text.remove_prefix(comma == std::string_view::npos ? text.size() : comma + 1);
     std::size_t equals = pair.find('=');
     if (equals == std::string_view::npos) continue;
-    std::optional<double> value = numberIn(pair.substr(equals + 1));
+    std::optional<double> value = numberIn<double>(pair.substr(equals + 1));
     if (!value) continue;
     // Danger: a store that has no position yet says 0, and no primary; taken for a report it would hide the
     // one.
@@ -110,7 +103,7 @@
     to.role = *value == "writer" ? Role::primary : *value == "reader" ? Role::replica : Role::unknown;
   if (*name == "usage") to.report = readReport(*value);
   if (*name == "commit_clock")
-    if (auto ms = numberIn(*value); ms && *ms > 0)
+    if (auto ms = numberIn<double>(*value); ms && *ms > 0)
       to.position = TimePoint{static_cast<std::int64_t>(*ms * 1000)};
 }
 
@@ -226,7 +219,7 @@
 
 void Stores::place(int store, const sockaddr_in& address) {
   if (static_cast<std::size_t>(store) >= pools_.size()) pools_.resize(static_cast<std::size_t>(store) + 1);
-  Pool& pool = pools_[static_cast<std::size_t>(store)];
+  Pool& pool = poolOf(store);
   bool moved = pool.address && (pool.address->sin_addr.s_addr != address.sin_addr.s_addr ||
                                 pool.address->sin_port != address.sin_port);
   pool.address = address;
@@ -236,7 +229,7 @@
 Job* Stores::give(std::unique_ptr<Job> job) {
   Job* j = job.get();
   jobs_.push_back(std::move(job));
-  Pool& pool = pools_[static_cast<std::size_t>(j->store)];
+  Pool& pool = poolOf(j->store);
   if (!pool.idle.empty()) {
     Connection* c = pool.idle.back();
     pool.idle.pop_back();
@@ -259,15 +252,15 @@
 
 void Stores::withdraw(int store) {
   // Danger: a connection may come up as late as the grace ends.
-  for (std::deque<Job*> left = std::exchange(pools_[static_cast<std::size_t>(store)].waiting, {});
+  for (std::deque<Job*> left = std::exchange(poolOf(store).waiting, {});
        Job * j : left)
     finish(j, Ending::moot);
 }
 
 void Stores::release(int store) {
   if (static_cast<std::size_t>(store) >= pools_.size()) return;
-  for (Connection* c : pools_[static_cast<std::size_t>(store)].idle) c->socket.close();
-  pools_[static_cast<std::size_t>(store)].idle.clear();
+  for (Connection* c : poolOf(store).idle) c->socket.close();
+  poolOf(store).idle.clear();
 }
 
 bool Stores::closeLongestIdle() {
@@ -282,7 +275,7 @@
 
 void Stores::openOne(int store) {
   int fd = -1;
-  Pool& pool = pools_[static_cast<std::size_t>(store)];
+  Pool& pool = poolOf(store);
   // Danger: the process has only so many descriptors; the longest idle connection makes room.
   if (connections_.size() < limits_.connections || closeLongestIdle())
     fd = pool.address ? sched::startConnect(*pool.address) : -1;
@@ -302,7 +295,7 @@
 
 // The next job for a connection; those that are not to be sent any more end on the way.
 Job* Stores::nextFor(int store) {
-  std::deque<Job*>& waiting = pools_[static_cast<std::size_t>(store)].waiting;
+  std::deque<Job*>& waiting = poolOf(store).waiting;
   while (!waiting.empty()) {
     Job* j = waiting.front();
     waiting.pop_front();
@@ -330,7 +323,7 @@
   Connection& conn = *c;
   int store = conn.store;
   bool up = co_await conn.comeUp(scheduler_.now() + limits_.connectTimeout);
-  --pools_[static_cast<std::size_t>(store)].coming;
+  --poolOf(store).coming;
   if (!up) failOldest(store);
   while (up && conn.socket.open()) {
     if (!conn.job) {
@@ -339,7 +332,7 @@
     }
     if (!conn.job) {
       conn.idleSince = scheduler_.now();
-      pools_[static_cast<std::size_t>(store)].idle.push_back(&conn);
+      poolOf(store).idle.push_back(&conn);
       // Danger: the store's machine closes what has been idle for the stated time; a job that is written just
       // then is lost. A connection is given up a connect time-out earlier.
       TimePoint until = conn.idleSince + limits_.keepalive - limits_.connectTimeout;
@@ -349,7 +342,7 @@
         if (conn.job) break;
         alive = set && conn.quiet();
       }
-      if (!conn.job) std::erase(pools_[static_cast<std::size_t>(store)].idle, &conn);
+      if (!conn.job) std::erase(poolOf(store).idle, &conn);
       if (!alive) break;
     }
     // Danger: what the store sent unasked would pass for the answer, and what it ended would lose the job.
@@ -357,8 +350,7 @@
       if (conn.job->cancelled) break;
       Job* j = conn.job;
       conn.job = nullptr, j->on = nullptr;
-      pools_[static_cast<std::size_t>(store)].waiting.push_front(j);
-      openOne(store);
+      poolOf(store).waiting.push_front(j);
       break;
     }
     Job* j = conn.job;
@@ -373,10 +365,10 @@
     if (!sound) break;
   }
   if (conn.job) finish(std::exchange(conn.job, nullptr), Ending::moot);
-  // Jobs that counted on this connection to become free need another.
+  // Jobs that counted on this connection need another.
   std::erase(connections_, &conn);
   conn.socket.close();
-  Pool& pool = pools_[static_cast<std::size_t>(store)];
+  Pool& pool = poolOf(store);
   if (pool.coming < static_cast<int>(pool.waiting.size())) openOne(store);
 }
 
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -73,6 +73,7 @@
     int coming = 0;  // connections being made
   };
 
+  Pool& poolOf(int store) { return pools_[static_cast<std::size_t>(store)]; }
   void openOne(int store);
   bool closeLongestIdle();
   bool due(const Job& job) const;
--- a/src/pg/statement.cpp
+++ b/src/pg/statement.cpp
@@ -1,6 +1,6 @@
 #include "pg/statement.h"
 
-#include <charconv>
+#include "base/number.h"
 
 namespace reedchute::pg {
 namespace {
@@ -14,11 +14,8 @@
 }
 
 bool integer(std::string_view text, std::optional<std::int64_t>& to) {
-  std::int64_t value = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size()) return false;
-  to = value;
-  return true;
+  to = numberIn<std::int64_t>(text);
+  return to.has_value();
 }
 
 // name=value pairs set apart by commas; false where a value can't be read.
--- a/src/sched/socket.cpp
+++ b/src/sched/socket.cpp
@@ -7,10 +7,11 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <stdexcept>
 
+#include "base/number.h"
+
 namespace reedchute::sched {
 namespace {
 
@@ -28,14 +29,11 @@
   std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
   std::string host(text.substr(0, colon));
-  std::string_view port = text.substr(colon + 1);
-  std::uint16_t number = 0;
-  auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), number);
-  if (error != std::errc{} || end != port.data() + port.size() || (number == 0 && !zeroPort))
-    return std::nullopt;
+  auto port = numberIn<std::uint16_t>(text.substr(colon + 1));
+  if (!port || (*port == 0 && !zeroPort)) return std::nullopt;
   sockaddr_in a{};
   a.sin_family = AF_INET;
-  a.sin_port = htons(number);
+  a.sin_port = htons(*port);
   if (inet_pton(AF_INET, host.c_str(), &a.sin_addr) != 1) return std::nullopt;
   return a;
 }
--- a/src/stages/take_in.cpp
+++ b/src/stages/take_in.cpp
@@ -1,8 +1,8 @@
 #include "stages/take_in.h"
 
 #include <algorithm>
-#include <charconv>
 
+#include "base/number.h"
 #include "log/log.h"
 #include "pg/messages.h"
 #include "pg/statement.h"
@@ -20,10 +20,8 @@
 
 // A session's key: its hex digits as a number, or a hash of whatever else it is.
 std::uint64_t sessionOf(std::string_view key) {
-  std::uint64_t value = 0;
-  auto [end, error] = std::from_chars(key.data(), key.data() + key.size(), value, 16);
-  if (!key.empty() && error == std::errc{} && end == key.data() + key.size()) return value;
-  value = 14695981039346656037ULL;
+  if (auto digits = numberIn<std::uint64_t>(key, 16)) return *digits;
+  std::uint64_t value = 14695981039346656037ULL;
   for (char c : key) value = (value ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
   return value;
 }
--- a/src/terms/params.cpp
+++ b/src/terms/params.cpp
@@ -1,6 +1,5 @@
 #include "terms/params.h"
 
-#include <charconv>
 #include <cmath>
 
 namespace reedchute {
@@ -26,17 +25,9 @@
 }
 
 double numberFrom(std::string_view text, const char* what) {
-  double value{};
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) badValue(what, text);
-  return value;
-}
-
-std::int64_t integerFrom(std::string_view text, const char* what) {
-  std::int64_t value{};
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size()) badValue(what, text);
-  return value;
+  auto value = numberIn<double>(text);
+  if (!value || !std::isfinite(*value)) badValue(what, text);
+  return *value;
 }
 
 void Params::add(std::string_view pair) {
@@ -79,7 +70,7 @@
 }
 
 std::int64_t Params::integer(const std::string& path) const {
-  auto value = integerFrom(need(path), path.c_str());
+  auto value = integerFrom<std::int64_t>(need(path), path.c_str());
   if (value < -INT64_MAX / 8 || value > INT64_MAX / 8) badValue(path.c_str(), need(path));
   return value;
 }
--- a/src/terms/params.h
+++ b/src/terms/params.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/number.h"
 #include "json/json.h"
 
 namespace reedchute {
@@ -21,7 +22,13 @@
 [[noreturn]] void badValue(const char* what, std::string_view text);
 
 double numberFrom(std::string_view text, const char* what);
-std::int64_t integerFrom(std::string_view text, const char* what);
+
+template <class T>
+T integerFrom(std::string_view text, const char* what, int base = 10) {
+  auto value = numberIn<T>(text, base);
+  if (!value) badValue(what, text);
+  return *value;
+}
 
 class Params {
  public:
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -1,19 +1,6 @@
 #include "wire/frame.h"
 
-#include <charconv>
-
 namespace reedchute::wire {
-namespace {
-
-template <class T>
-T parse(std::string_view text, const char* what, int base = 10) {
-  T value{};
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
-  if (error != std::errc{} || end != text.data() + text.size()) badValue(what, text);
-  return value;
-}
-
-}  // namespace
 
 void Line::split(std::string_view text) {
   fields_.clear();
@@ -37,7 +24,7 @@
 }
 
 std::int64_t Line::integer(std::size_t k, const char* what, std::int64_t low, std::int64_t high) const {
-  auto value = parse<std::int64_t>(fields_[k], what);
+  auto value = integerFrom<std::int64_t>(fields_[k], what);
   if (value < low || value > high) badValue(what, fields_[k]);
   return value;
 }
@@ -53,12 +40,12 @@
 }
 
 std::uint64_t Line::unsigned64(std::size_t k, const char* what) const {
-  return parse<std::uint64_t>(fields_[k], what);
+  return integerFrom<std::uint64_t>(fields_[k], what);
 }
 
 std::uint64_t Line::hex(std::size_t k, const char* what) const {
   if (absent(k)) return 0;
-  return parse<std::uint64_t>(fields_[k], what, 16);
+  return integerFrom<std::uint64_t>(fields_[k], what, 16);
 }
 
 bool Line::boolean(std::size_t k, const char* what) const { return integer(k, what, 0, 1) == 1; }
