No empty pass of epoll after each round; the toy, the tests and the list use what is there

Whoever told the module a fact asked for a round, and the request outlived the round that served it, so each round was followed by an epoll call for nothing. The scheduler now forgets it as the round ends. One way to sleep, one acceptor and one wording of the list in the toy, one table runner for the four test programs; a watch's call knows by itself what it asks for. Dead: log::suppressed, Toy::setPrimary and portOf.

--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -1,7 +1,5 @@
 #include "toy.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <charconv>
 
@@ -14,15 +12,7 @@
 constexpr std::size_t kMost = 256 * 1024;
 
 sockaddr_in loopback(std::uint16_t port) {
-  sockaddr_in a{};
-  a.sin_family = AF_INET;
-  a.sin_port = htons(port);
-  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return a;
-}
-
-std::string parameter(const std::string& name, const std::string& value) {
-  return pg::message('S', name + '\0' + value + '\0');
+  return *sched::parseAddress("127.0.0.1:" + std::to_string(port), true);
 }
 
 std::string row(const std::string& value) {
@@ -55,11 +45,10 @@
   store->group = group;
   stores_.push_back(std::move(store));
   int number = static_cast<int>(stores_.size()) - 1;
-  scheduler_.spawn(acceptStore(number));
+  acceptStore(number);
   return number;
 }
 
-std::uint16_t Toy::portOf(int store) const { return stores_[static_cast<std::size_t>(store)]->port; }
 int Toy::executions(int store) const { return stores_[static_cast<std::size_t>(store)]->executions; }
 
 std::string Toy::member(int number) const {
@@ -70,13 +59,17 @@
          (s.primary ? "writer" : "reader") + "\"}";
 }
 
-std::string Toy::roster(bool full) const {
+std::string Toy::listing(bool full, const std::string& entries) const {
+  return "{\"version\":" + std::to_string(version_) + ",\"full\":" + (full ? "true" : "false") +
+         ",\"servers\":[" + entries + "]}";
+}
+
+std::string Toy::roster() const {
   std::string entries;
   for (int k = 0; k < static_cast<int>(stores_.size()); ++k)
     if (stores_[static_cast<std::size_t>(k)]->state != "removed")
       entries += (entries.empty() ? "" : ",") + member(k);
-  return "{\"version\":" + std::to_string(version_) + ",\"full\":" + (full ? "true" : "false") +
-         ",\"servers\":[" + entries + "]}";
+  return listing(true, entries);
 }
 
 void Toy::changed(int store) {
@@ -89,11 +82,6 @@
   changed(store);
 }
 
-void Toy::setPrimary(int store) {
-  for (auto& s : stores_) s->primary = false;
-  stores_[static_cast<std::size_t>(store)]->primary = true;
-}
-
 void Toy::kill(int number) {
   Store& s = *stores_[static_cast<std::size_t>(number)];
   s.listener->close();
@@ -104,7 +92,7 @@
   Store& s = *stores_[static_cast<std::size_t>(number)];
   s.startedMs = scheduler_.now().us / 1000;
   s.listener = std::make_unique<sched::Descriptor>(scheduler_, sched::listenOn(loopback(s.port)));
-  scheduler_.spawn(acceptStore(number));
+  acceptStore(number);
   changed(number);
 }
 
@@ -120,18 +108,22 @@
 
 // ---- stores ----
 
-sched::Task<> Toy::acceptStore(int number) {
-  sched::Descriptor& listener = *stores_[static_cast<std::size_t>(number)]->listener;
+sched::Task<> Toy::accept(sched::Descriptor& listener, Server server) {
   while (listener.open()) {
     bool full = false;
     int fd = sched::acceptOn(listener.fd(), full);
     if (fd >= 0)
-      scheduler_.spawn(serveStore(number, std::make_unique<sched::Socket>(scheduler_, fd)));
+      scheduler_.spawn(server(std::make_unique<sched::Socket>(scheduler_, fd)));
     else
       co_await listener.in.wait();
   }
 }
 
+void Toy::acceptStore(int number) {
+  scheduler_.spawn(accept(*stores_[static_cast<std::size_t>(number)]->listener,
+                          [this, number](auto socket) { return serveStore(number, std::move(socket)); }));
+}
+
 sched::Task<> Toy::serveStore(int number, std::unique_ptr<sched::Socket> owned) {
   sched::Socket& s = *owned;
   Store& store = *stores_[static_cast<std::size_t>(number)];
@@ -190,14 +182,13 @@
   std::string word = wordFor(f.key, n);
   ++store.executions;
   seen(number, text);
-  std::string role = parameter("server_role", store.primary ? "writer" : "reader");
+  std::string role = pg::parameter("server_role", store.primary ? "writer" : "reader");
   bool write = text.rfind("INSERT", 0) == 0;
   std::string out;
   if (word.rfind("slow", 0) == 0) {
     std::int64_t wait = 0;
     std::from_chars(word.data() + 4, word.data() + word.size(), wait);
-    sched::Event pause(scheduler_);
-    co_await pause.wait(scheduler_.now() + Span{wait * 1000});
+    co_await sched::sleepUntil(scheduler_, scheduler_.now() + Span{wait * 1000});
     word = "ok";
   }
   if (write && !store.primary) {
@@ -213,7 +204,6 @@
   } else if (word == "break") {
     co_return false;
   } else if (word == "silent") {
-    sched::Event never(scheduler_);
     while (s.open()) {
       std::string rest;
       co_await s.in.wait();
@@ -235,7 +225,7 @@
     out = row("one") + row("two") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
   } else {
     out = row("value of " + std::string(f.key)) + pg::message('C', std::string("SELECT 1\0", 9)) + role;
-    if (write) out += parameter("commit_clock", std::to_string(scheduler_.now().us / 1000));
+    if (write) out += pg::parameter("commit_clock", std::to_string(scheduler_.now().us / 1000));
     out += pg::ready();
   }
   bool sent = co_await sched::writeAll(s, out, kForever);
@@ -246,21 +236,10 @@
 
 std::uint16_t Toy::serveList(std::uint16_t port) {
   list_ = std::make_unique<sched::Descriptor>(scheduler_, sched::listenOn(loopback(port)));
-  scheduler_.spawn(acceptList());
+  scheduler_.spawn(accept(*list_, [this](auto socket) { return serveListCall(std::move(socket)); }));
   return static_cast<std::uint16_t>(sched::portOf(list_->fd()));
 }
 
-sched::Task<> Toy::acceptList() {
-  for (;;) {
-    bool full = false;
-    int fd = sched::acceptOn(list_->fd(), full);
-    if (fd >= 0)
-      scheduler_.spawn(serveListCall(std::make_unique<sched::Socket>(scheduler_, fd)));
-    else
-      co_await list_->in.wait();
-  }
-}
-
 sched::Task<> Toy::serveListCall(std::unique_ptr<sched::Socket> owned) {
   sched::Socket& s = *owned;
   std::string in;
@@ -284,7 +263,7 @@
     std::int64_t index = figure("index="), wait = figure("&wait=");
     std::string body;
     if (index < 0) {
-      body = roster(true);
+      body = roster();
     } else {
       if (version_ <= index && wait > 0) {
         watchers_.push_back(&news);
@@ -294,7 +273,7 @@
       std::string entries;
       for (const auto& [version, store] : changes_)
         if (version > index) entries += (entries.empty() ? "" : ",") + member(store);
-      body = "{\"version\":" + std::to_string(version_) + ",\"full\":false,\"servers\":[" + entries + "]}";
+      body = listing(false, entries);
     }
     std::string out = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
                       std::to_string(body.size()) + "\r\n\r\n" + body;
--- a/example/toy.h
+++ b/example/toy.h
@@ -25,7 +25,6 @@
 
   // Changes a store's state in the list ("up", "draining" or "removed") and tells the watchers.
   void setState(int store, const std::string& state);
-  void setPrimary(int store);
   // The process dies: connections break, new ones are refused. revive() brings it back, lately started.
   void kill(int store);
   void revive(int store);
@@ -36,8 +35,7 @@
   // What every answer of the list service becomes, once; empty: a proper one.
   void spoilList(std::string raw) { spoiled_ = std::move(raw); }
 
-  std::string roster(bool full) const;
-  std::uint16_t portOf(int store) const;
+  std::string roster() const;  // the whole list
   std::string idOf(int store) const { return "toy-" + std::to_string(store); }
   int executions(int store) const;
 
@@ -58,11 +56,13 @@
   };
 
   std::string member(int store) const;
+  std::string listing(bool full, const std::string& entries) const;
   void changed(int store);
-  sched::Task<> acceptStore(int store);
+  using Server = std::function<sched::Task<>(std::unique_ptr<sched::Socket>)>;
+  sched::Task<> accept(sched::Descriptor& listener, Server server);
+  void acceptStore(int store);
   sched::Task<> serveStore(int store, std::unique_ptr<sched::Socket> s);
   sched::Task<bool> doStatement(int store, sched::Socket& s, std::string text);
-  sched::Task<> acceptList();
   sched::Task<> serveListCall(std::unique_ptr<sched::Socket> s);
 
   sched::Scheduler& scheduler_;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -115,8 +115,7 @@
 
 sched::Task<> Front::tally() {
   for (;;) {
-    sched::Event pause(scheduler_);
-    co_await pause.wait(scheduler_.now() + kTallyEvery);
+    co_await sched::sleepUntil(scheduler_, scheduler_.now() + kTallyEvery);
     log::line("tally", "taken=%llu open=%zu sessions=%zu store_connections=%zu",
               static_cast<unsigned long long>(taken_), book_.openCount(), clients_.sessions(),
               stores_.connections());
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -23,7 +23,6 @@
 
 std::array<Meter, kEvents> meters;
 TimePoint now_{};
-std::uint64_t suppressed_ = 0;
 
 Meter& meterOf(const char* event) {
   for (Meter& m : meters) {
@@ -49,7 +48,7 @@
   std::int64_t second = now_.us / 1'000'000;
   if (second != m.second) m.second = second, m.written = 0;
   if (m.written >= kPerSecond) {
-    ++m.left, ++suppressed_;
+    ++m.left;
     return;
   }
   ++m.written;
@@ -79,6 +78,4 @@
   }
 }
 
-std::uint64_t suppressed() { return suppressed_; }
-
 }  // namespace reedchute::log
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -22,7 +22,4 @@
 // A line for each event of which something was left out since its last line.
 void flushCounts();
 
-// How many lines were left out so far.
-std::uint64_t suppressed();
-
 }  // namespace reedchute::log
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -173,8 +173,7 @@
     if (++inARow > kInARow) {
       // Danger: a client that sends without end would keep all others waiting.
       inARow = 0;
-      sched::Event turn(scheduler_);
-      co_await turn.wait(scheduler_.now() + Span{1});
+      co_await sched::sleepUntil(scheduler_, scheduler_.now() + Span{1});
     }
     if (m.type == 'X') break;
     if (m.type != 'Q') {
--- a/src/peers/list.cpp
+++ b/src/peers/list.cpp
@@ -88,9 +88,8 @@
 sched::Task<> List::run() {
   for (;;) {
     if (pace_.onDemand) co_await asked_.wait();
-    Call whole = co_await call(!known_);
     // A watch goes on for as long as each next call follows the last answer at once.
-    while (whole == Call::good) whole = co_await call(!known_);
+    for (bool good = true; good;) good = co_await call();
     if (pace_.onDemand) {
       keeper_.listFailed();  // and the module says when to call again
     } else {
@@ -100,17 +99,18 @@
   }
 }
 
-sched::Task<List::Call> List::call(bool whole) {
+sched::Task<bool> List::call() {
+  bool whole = !known_;
   std::int64_t waitMs = std::min(kMostWaitMs, pace_.wait.us / 1000);
   std::string path = "/catalog/members";
   if (!whole) path += "?index=" + std::to_string(version_) + "&wait=" + std::to_string(waitMs);
   Span limit = whole ? pace_.wait : pace_.wait * 1.5;
   std::string body;
   bool got = co_await exchange(path, scheduler_.now() + limit, body);
-  if (got && take(body, whole)) co_return Call::good;
+  if (got && take(body, whole)) co_return true;
   socket_.reset();
   in_.clear();
-  co_return Call::failed;
+  co_return false;
 }
 
 bool List::take(const std::string& body, bool whole) {
--- a/src/peers/list.h
+++ b/src/peers/list.h
@@ -53,8 +53,7 @@
   void ask();  // where it comes on demand
 
  private:
-  enum class Call { good, failed };
-  sched::Task<Call> call(bool whole);
+  sched::Task<bool> call();  // the whole list, or a watch where it is known
   sched::Task<bool> exchange(const std::string& path, TimePoint until, std::string& body);
   bool take(const std::string& body, bool whole);
 
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -252,8 +252,7 @@
 
 void Stores::withdraw(int store) {
   // Danger: a connection may come up as late as the grace ends.
-  for (std::deque<Job*> left = std::exchange(poolOf(store).waiting, {});
-       Job * j : left)
+  for (std::deque<Job*> left = std::exchange(poolOf(store).waiting, {}); Job * j : left)
     finish(j, Ending::moot);
 }
 
--- a/src/pg/messages.cpp
+++ b/src/pg/messages.cpp
@@ -17,13 +17,6 @@
   to.push_back('\0');
 }
 
-std::string parameter(std::string_view name, std::string_view value) {
-  std::string payload;
-  addString(payload, name);
-  addString(payload, value);
-  return pg::message('S', payload);
-}
-
 }  // namespace
 
 std::string message(char type, std::string_view payload) {
@@ -33,6 +26,13 @@
   return m;
 }
 
+std::string parameter(std::string_view name, std::string_view value) {
+  std::string payload;
+  addString(payload, name);
+  addString(payload, value);
+  return message('S', payload);
+}
+
 Framed frame(std::string_view bytes, std::size_t most, Message& m) {
   if (bytes.size() < 5) return Framed::partial;
   std::uint32_t length = read32(bytes.substr(1));
--- a/src/pg/messages.h
+++ b/src/pg/messages.h
@@ -41,6 +41,7 @@
 std::optional<std::string_view> firstColumn(std::string_view payload);
 
 std::string message(char type, std::string_view payload);
+std::string parameter(std::string_view name, std::string_view value);
 std::string startup(std::string_view user, std::string_view database);
 std::string query(std::string_view text);
 std::string error(bool fatal, std::string_view code, std::string_view text, std::string_view detail = {});
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -76,7 +76,6 @@
   epoll_event events[kEventsAtOnce];
   if (!timers_.empty()) until = std::min(until, timers_.begin()->first.first);
   Span left = again_ || !ready_.empty() ? Span{} : std::clamp(until - now_, Span{}, Span{kLongestWait});
-  again_ = false;
   int n = -1;
   if (!coarse_) {
     timespec t{left.us / 1'000'000, left.us % 1'000'000 * 1000};
@@ -110,6 +109,7 @@
   wait(until);
   fireTimers();
   runReady();
+  again_ = false;  // whoever asked for a round so far has this one
   roundEnds();
   runReady();  // what the round's end began: sends, answers
 }
@@ -156,6 +156,11 @@
   event.armed_ = true;
 }
 
+Task<> sleepUntil(Scheduler& s, TimePoint until) {
+  Event never(s);
+  co_await never.wait(until);
+}
+
 // ---- descriptors ----
 
 Descriptor::Descriptor(Scheduler& s, int fd) : in(s), out(s), fd_(fd) {
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -34,7 +34,7 @@
   // Runs rounds until stop(). `roundEnds` is called once a round, after all that the round woke has run.
   void run(const std::function<void()>& roundEnds);
   void stop() { stopped_ = true; }
-  // The next round begins at once, whatever else comes.
+  // A round ends soon: the one that runs, or where its end has come already, the next, which begins at once.
   void again() { again_ = true; }
   // One round that waits no longer than until then.
   void pass(TimePoint until, const std::function<void()>& roundEnds);
@@ -94,6 +94,9 @@
   Scheduler::Timers::iterator timer_;
 };
 
+// Waits for a time and nothing else.
+Task<> sleepUntil(Scheduler& s, TimePoint until);
+
 // Owns a non-blocking file descriptor; its events are set at each edge and when it is closed here.
 class Descriptor {
  public:
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -15,9 +15,12 @@
 
 #include "pg/messages.h"
 #include "toy.h"
+#include "trace.h"
 
 using namespace reedchute;
 using sched::Socket;
+using test::Case;
+using test::runCase;
 
 namespace {
 
@@ -97,7 +100,7 @@
     std::ofstream(path_) << "{\"name\":\"t\",\"listen\":\"127.0.0.1:" << port
                          << "\",\"discovery\":\"127.0.0.1:" << listPort_
                          << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" << sockets
-                         << "},\"known\":" << toy.roster(true) << ",\"settings\":" << settings << "}";
+                         << "},\"known\":" << toy.roster() << ",\"settings\":" << settings << "}";
     int fds[2];
     if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds) < 0)
       throw std::runtime_error("no socketpair");
@@ -456,21 +459,17 @@
   d.exits();
 }
 
-const struct {
-  const char* name;
-  void (*run)();
-} kCases[] = {
+const Case kCases[] = {
     {"completed", completed}, {"outcomes", outcomes}, {"writes", writes},       {"connections", connections},
     {"drains", drains},       {"asked", asked},       {"logStands", logStands}, {"badInput", badInput},
     {"crowd", crowd},         {"leaves", leaves}};
 
 }  // namespace
 
+// front PROGRAM CASE
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  for (const auto& one : kCases)
-    if (argc == 3 && !std::strcmp(argv[2], one.name)) return program = argv[1], one.run(), 0;
-  std::fprintf(stderr, "front PROGRAM CASE\n");
-  return 1;
+  if (argc > 1) program = argv[1];
+  return runCase(kCases, argc - 1, argv + 1);
 }
--- a/tests/parsers.cpp
+++ b/tests/parsers.cpp
@@ -10,8 +10,11 @@
 #include "peers/list.h"
 #include "pg/messages.h"
 #include "pg/statement.h"
+#include "trace.h"
 
 using namespace reedchute;
+using test::Case;
+using test::runCase;
 
 namespace {
 
@@ -266,17 +269,9 @@
   std::printf("some were found bad: %s\n", bad > 0 ? "yes" : "no");
 }
 
-const struct {
-  const char* name;
-  void (*run)();
-} kCases[] = {{"json", jsonReader},       {"http", httpReader}, {"messages", messages},
-              {"statements", statements}, {"rosters", rosters}, {"damaged", damaged}};
+const Case kCases[] = {{"json", jsonReader},       {"http", httpReader}, {"messages", messages},
+                       {"statements", statements}, {"rosters", rosters}, {"damaged", damaged}};
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  for (const auto& one : kCases)
-    if (argc == 2 && !std::strcmp(argv[1], one.name)) return one.run(), 0;
-  std::fprintf(stderr, "no such case\n");
-  return 1;
-}
+int main(int argc, char** argv) { return runCase(kCases, argc, argv); }
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -477,10 +477,7 @@
   }
 }
 
-const struct {
-  const char* name;
-  void (*run)();
-} kScenarios[] = {
+const Case kScenarios[] = {
     {"curve", curve}, {"unmeasured", unmeasured}, {"levels", levels},
     {"checkedReads", checkedReads}, {"window", window}, {"prompt", prompt},
     {"drain", drain}, {"nonIdempotent", nonIdempotent}, {"cold", cold},
@@ -495,9 +492,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  for (const auto& scenario : kScenarios)
-    if (argc == 2 && !std::strcmp(argv[1], scenario.name)) return scenario.run(), 0;
-  std::fprintf(stderr, "no such scenario\n");
-  return 1;
-}
+int main(int argc, char** argv) { return runCase(kScenarios, argc, argv); }
--- a/tests/sched.cpp
+++ b/tests/sched.cpp
@@ -8,8 +8,11 @@
 #include <stdexcept>
 
 #include "sched/socket.h"
+#include "trace.h"
 
 using namespace reedchute;
+using test::Case;
+using test::runCase;
 using namespace reedchute::sched;
 
 namespace {
@@ -182,17 +185,9 @@
   ::close(fds[1]);
 }
 
-const struct {
-  const char* name;
-  void (*run)();
-} kCases[] = {{"timers", timers}, {"events", events}, {"reused", reused},
-              {"tasks", tasks},   {"rounds", rounds}, {"sockets", sockets}};
+const Case kCases[] = {{"timers", timers}, {"events", events}, {"reused", reused},
+                       {"tasks", tasks},   {"rounds", rounds}, {"sockets", sockets}};
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  for (const auto& one : kCases)
-    if (argc == 2 && !std::strcmp(argv[1], one.name)) return one.run(), 0;
-  std::fprintf(stderr, "no such case\n");
-  return 1;
-}
+int main(int argc, char** argv) { return runCase(kCases, argc, argv); }
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdio>
+#include <cstring>
 #include <functional>
 #include <string>
 #include <vector>
@@ -12,6 +13,20 @@
 
 inline Span ms(double n) { return Span{static_cast<std::int64_t>(n * 1000)}; }
 
+// What a test program can run, by the name that it is called with.
+struct Case {
+  const char* name;
+  void (*run)();
+};
+
+template <std::size_t N>
+int runCase(const Case (&cases)[N], int argc, char** argv) {
+  for (const Case& one : cases)
+    if (argc == 2 && !std::strcmp(argv[1], one.name)) return one.run(), 0;
+  std::fprintf(stderr, "no such case\n");
+  return 1;
+}
+
 // One group: store 0 is listed as primary unless a scenario says otherwise; the rest are replicas.
 class Bench : public Writer {
  public:
