A client's session in steps: greet, read more, take, answer owed, let read

One coroutine of 120 lines held startup, framing, queries and the last words of a refused client, with the same course for a broken startup and a broken message written twice. Behaviour and traces as they were.

--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -45,12 +45,19 @@
     co_return done;
   }
 
+  // The last that it is told, before its connection ends.
+  void end(std::string_view code, std::string_view text) {
+    out += pg::error(true, code, text);
+    ending = true;
+  }
+
   sched::Socket socket;
   std::string in, out;
   std::size_t used = 0;
   int stmt = -1;
   std::list<Session*>::iterator place, idlePlace;
-  bool idle = false;
+  bool greeted = false, ending = false, idle = false;
+  int inARow = 0;  // messages taken since it last had nothing to read
 };
 
 Clients::Clients(sched::Scheduler& s, Desk& desk, Limits limits)
@@ -109,129 +116,117 @@
   }
 }
 
+pg::Framed Clients::greet(Session& s) {
+  std::int32_t code = 0;
+  std::size_t size = 0;
+  pg::Framed f = pg::frameStartup(s.left(), kMostStartup, code, size);
+  if (f != pg::Framed::whole) return f;
+  s.drop(size);
+  if (code == pg::kSslCode || code == pg::kGssCode) {
+    s.out += 'N';
+  } else if (code == pg::kCancelCode) {
+    s.socket.close();
+  } else if (code >> 16 != 3) {
+    s.end("0A000", "only version 3 of the protocol is spoken here");
+  } else {
+    s.out += pg::greeting();
+    s.greeted = true;
+  }
+  return f;
+}
+
+sched::Task<bool> Clients::readMore(Session& s) {
+  bool idle = s.greeted && s.left().empty();
+  sched::Socket::Got got = s.more(kMostMessage + 1);
+  if (got == sched::Socket::Got::some) co_return true;
+  if (got == sched::Socket::Got::ended || (idle && away_)) co_return false;
+  s.inARow = 0;
+  if (idle) {
+    idle_.push_back(&s);
+    s.idlePlace = std::prev(idle_.end());
+    s.idle = true;
+  }
+  bool set = co_await s.socket.in.wait(idle ? kForever : scheduler_.now() + limits_.patience);
+  if (std::exchange(s.idle, false)) idle_.erase(s.idlePlace);
+  co_return set;
+}
+
+sched::Task<> Clients::answerOwed(Session& s) {
+  while (s.stmt >= 0) {
+    co_await s.socket.in.wait();
+    if (s.stmt < 0) break;
+    // What a client sends ahead is read later; that it leaves shows at once.
+    if (!s.socket.open() || s.more(kMostAhead) == sched::Socket::Got::ended) {
+      desk_.left(std::exchange(s.stmt, -1));
+      s.socket.close();
+    }
+  }
+}
+
+sched::Task<bool> Clients::take(Session& s, pg::Message m) {
+  if (++s.inARow > kInARow) {
+    // Danger: a client that sends without end would keep all others waiting.
+    s.inARow = 0;
+    co_await sched::sleepUntil(scheduler_, scheduler_.now() + Span{1});
+  }
+  if (m.type == 'X') co_return false;
+  // Only simple queries are spoken; what follows an extended one up to its Sync is passed over.
+  if (m.type == 'Q') {
+    std::optional<std::string_view> text = pg::takeString(m.payload);
+    std::string reply;
+    if (text && m.payload.empty())
+      s.stmt = desk_.query(*text, s, reply);
+    else
+      reply = pg::error(false, "08P01", "a query without its end") + pg::ready();
+    s.out += reply;
+  } else if (m.type == 'S') {
+    s.out += pg::ready();
+  } else if (m.type == 'P' || m.type == 'F') {
+    s.out += pg::error(false, "0A000", "only simple queries are spoken here");
+    if (m.type == 'F') s.out += pg::ready();
+  } else if (std::string_view("BEDCHdcfp").find(m.type) == std::string_view::npos) {
+    log::line("client_garbled", "what=type");
+    s.end("08P01", "a message of an unknown type");
+  }
+  s.drop(m.whole.size());
+  co_await answerOwed(s);
+  co_return true;
+}
+
+// Danger: closing with unread bytes resets the connection and may take the last message with it.
+sched::Task<> Clients::letRead(Session& s) {
+  TimePoint until = scheduler_.now() + limits_.linger;
+  bool written = co_await s.flush(until);
+  s.socket.endWriting();
+  while (written && s.socket.open()) {
+    s.in.clear(), s.used = 0;
+    sched::Socket::Got got = s.socket.read(s.in, kMostAhead);
+    if (got == sched::Socket::Got::ended) break;
+    if (got == sched::Socket::Got::some) continue;
+    bool set = co_await s.socket.in.wait(until);
+    if (!set) break;
+  }
+}
+
 sched::Task<> Clients::serve(std::unique_ptr<Session> owned, bool turnAway) {
   Session& s = *owned;
-  bool greeted = false, ending = false;
-  int inARow = 0;
-  if (turnAway) s.out = pg::error(true, "53300", "too many clients"), ending = true;
-  while (!ending && s.socket.open()) {
-    // Startup.
-    if (!greeted) {
-      std::int32_t code = 0;
-      std::size_t size = 0;
-      pg::Framed f = pg::frameStartup(s.left(), kMostStartup, code, size);
-      if (f == pg::Framed::bad) {
-        log::line("client_garbled", "what=startup");
-        s.out += pg::error(true, "08P01", "the startup message can't be read");
-        ending = true;
-        break;
-      }
-      if (f == pg::Framed::whole) {
-        s.drop(size);
-        if (code == pg::kSslCode || code == pg::kGssCode) {
-          s.out += 'N';
-        } else if (code == pg::kCancelCode) {
-          break;
-        } else if (code >> 16 != 3) {
-          s.out += pg::error(true, "0A000", "only version 3 of the protocol is spoken here");
-          ending = true;
-          break;
-        } else {
-          s.out += pg::greeting();
-          greeted = true;
-        }
-        bool written = co_await s.flush(scheduler_.now() + limits_.patience);
-        if (!written) break;
-        continue;
-      }
-    }
-    // One message.
+  if (turnAway) s.end("53300", "too many clients");
+  bool good = true;
+  while (good && !s.ending && s.socket.open()) {
     pg::Message m;
-    pg::Framed f = greeted ? pg::frame(s.left(), kMostMessage, m) : pg::Framed::partial;
+    bool greeted = s.greeted;
+    pg::Framed f = greeted ? pg::frame(s.left(), kMostMessage, m) : greet(s);
     if (f == pg::Framed::bad) {
-      log::line("client_garbled", "what=message");
-      s.out += pg::error(true, "08P01", "a message whose length makes no sense");
-      ending = true;
-      break;
-    }
-    if (f == pg::Framed::partial) {
-      bool idle = greeted && s.left().empty();
-      sched::Socket::Got got = s.more(kMostMessage + 1);
-      if (got == sched::Socket::Got::some) continue;
-      if (got == sched::Socket::Got::ended || (idle && away_)) break;
-      inARow = 0;
-      if (idle) {
-        idle_.push_back(&s);
-        s.idlePlace = std::prev(idle_.end());
-        s.idle = true;
-      }
-      bool set = co_await s.socket.in.wait(idle ? kForever : scheduler_.now() + limits_.patience);
-      if (std::exchange(s.idle, false)) idle_.erase(s.idlePlace);
-      if (!set) break;
-      continue;
-    }
-    if (++inARow > kInARow) {
-      // Danger: a client that sends without end would keep all others waiting.
-      inARow = 0;
-      co_await sched::sleepUntil(scheduler_, scheduler_.now() + Span{1});
-    }
-    if (m.type == 'X') break;
-    if (m.type != 'Q') {
-      // Only simple queries are spoken; what follows an extended one up to its Sync is passed over.
-      bool known = std::string_view("PBEDCHFSdcfp").find(m.type) != std::string_view::npos;
-      if (m.type == 'S') {
-        s.out += pg::ready();
-      } else if (!known) {
-        log::line("client_garbled", "what=type");
-        s.out += pg::error(true, "08P01", "a message of an unknown type");
-        ending = true;
-        break;
-      } else if (m.type == 'P' || m.type == 'F') {
-        s.out += pg::error(false, "0A000", "only simple queries are spoken here");
-        if (m.type == 'F') s.out += pg::ready();
-      }
-      s.drop(m.whole.size());
-    } else {
-      std::string_view rest = m.payload;
-      std::optional<std::string_view> text = pg::takeString(rest);
-      std::string reply;
-      if (!text || !rest.empty())
-        reply = pg::error(false, "08P01", "a query without its end") + pg::ready();
-      else
-        s.stmt = desk_.query(*text, s, reply);
-      s.out += reply;
-      s.drop(m.whole.size());
-      while (s.stmt >= 0) {
-        co_await s.socket.in.wait();
-        if (s.stmt < 0) break;
-        // What a client sends ahead is read later; that it leaves shows at once.
-        if (!s.socket.open() || s.more(kMostAhead) == sched::Socket::Got::ended) {
-          desk_.left(std::exchange(s.stmt, -1));
-          s.socket.close();
-        }
-      }
-    }
-    if (!s.out.empty()) {
-      bool written = co_await s.flush(scheduler_.now() + limits_.patience);
-      if (!written) break;
-    }
-  }
-  if (s.stmt >= 0) desk_.left(std::exchange(s.stmt, -1));
-  if (ending && s.socket.open()) {
-    // Danger: closing with unread bytes resets the connection and may take the last message with it.
-    TimePoint until = scheduler_.now() + limits_.linger;
-    bool written = co_await s.flush(until);
-    s.socket.endWriting();
-    while (written && s.socket.open()) {
-      s.in.clear(), s.used = 0;
-      sched::Socket::Got got = s.socket.read(s.in, kMostAhead);
-      if (got == sched::Socket::Got::ended) break;
-      if (got == sched::Socket::Got::some) continue;
-      bool set = co_await s.socket.in.wait(until);
-      if (!set) break;
+      log::line("client_garbled", "what=%s", greeted ? "message" : "startup");
+      s.end("08P01", greeted ? "a message whose length makes no sense" : "the startup message can't be read");
+    } else if (f == pg::Framed::partial) {
+      good = co_await readMore(s);
+    } else if (greeted) {
+      good = co_await take(s, m);
     }
+    if (good && !s.ending && !s.out.empty()) good = co_await s.flush(scheduler_.now() + limits_.patience);
   }
-  if (s.idle) idle_.erase(s.idlePlace);
+  if (s.ending && s.socket.open()) co_await letRead(s);
   sessions_.erase(s.place);
   if (turnAway) --turning_;
 }
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -45,6 +45,11 @@
 
   sched::Task<> accept();
   sched::Task<> serve(std::unique_ptr<Session> s, bool turnAway);
+  pg::Framed greet(Session& s);            // takes a startup message, if one is there
+  sched::Task<bool> readMore(Session& s);  // false: the session is over, as with the next
+  sched::Task<bool> take(Session& s, pg::Message m);
+  sched::Task<> answerOwed(Session& s);  // returns at once where none is
+  sched::Task<> letRead(Session& s);
   bool closeLongestIdle();
 
   sched::Scheduler& scheduler_;
