--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kStorePart = 3;
 // PROTOCOL: after SIGTERM clients keep coming for 0.2 to 0.4 s, and what arrives up to 0.7 s after it counts.
 constexpr Span kStillComing{550'000};
+// In connect time-outs: a client owes a whole message by then; an idle one may be closed.
+constexpr double kSilence = 6, kIdle = 8;
 constexpr Span kTallyEvery{5'000'000};
 
 peers::Stores::Limits storeLimits(const Given& g) {
@@ -25,7 +27,15 @@
 
 peers::Clients::Limits clientLimits(const Given& g) {
   std::size_t rest = g.sockets - kReserve;
-  return {rest - rest / kStorePart, g.terms.connectTimeout, g.keepalive};
+  Span unit = g.terms.connectTimeout;
+  return {rest - rest / kStorePart, unit, g.keepalive, unit * kSilence, unit * kIdle};
+}
+
+sigset_t taken() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, number);
+  return signals;
 }
 
 }  // namespace
@@ -52,7 +62,7 @@
       stores_(scheduler_, book_, storeLimits(given_)),
       send_(scheduler_, book_, stores_, given_.terms.connectTimeout),
       route_(scheduler_, rules_, book_, send_, relay_, stores_),
-      takeIn_(given_.names, groups_),
+      takeIn_(given_.names, groups_, book_.openIds()),
       admit_(rules_, book_),
       clients_(scheduler_, *this, clientLimits(given_)),
       list_(scheduler_, *this, given_.discovery, given_.discoveryHost,
@@ -67,13 +77,15 @@
             book_.openCount(), clients_.sessions());
 }
 
-void Front::run() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
+void Front::holdSignals() {
+  sigset_t signals = taken();
   sigprocmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+}
+
+void Front::run() {
+  holdSignals();
+  sigset_t signals = taken();
   enter(Phase::starting);
   tellList(given_.known, false);
   scheduler_.spawn(watchSignals(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC)));
@@ -94,12 +106,31 @@
     signalfd_siginfo info;
     while (read(signals.fd(), &info, sizeof info) == sizeof info) {
       log::line("signal", "number=%u", info.ssi_signo);
-      told_.set();
+      if (info.ssi_signo == SIGHUP)
+        reload();
+      else
+        told_.set();
     }
     co_await signals.in.wait();
   }
 }
 
+// Danger: the file may be missing, half written or senseless; then all stays as it is.
+void Front::reload() {
+  Given next;
+  try {
+    next = readGiven(given_.path.c_str());
+  } catch (const std::exception& e) {
+    log::line("reload_bad", "what=\"%s\"", e.what());
+    return;
+  }
+  for (const char* field : changedForRestart(given_, next)) log::line("reload_ignored", "field=%s", field);
+  log::line("reload", "discovery=%s", next.discoveryHost.c_str());
+  given_.discovery = next.discovery;
+  given_.discoveryHost = next.discoveryHost;
+  list_.moveTo(next.discovery, next.discoveryHost);
+}
+
 sched::Task<> Front::leave() {
   co_await told_.wait();
   enter(Phase::leaving);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -33,6 +33,9 @@
  public:
   explicit Front(Given given);
 
+  // From now on signals wait until run() takes them.
+  static void holdSignals();
+
   // Serves until it is told to end, and returns when all that was taken has its answer.
   void run();
   Phase phase() const { return phase_; }
@@ -46,6 +49,7 @@
   void enter(Phase p);
   void tellList(const peers::Roster& roster, bool asked);
   sched::Task<> watchSignals(int fd);
+  void reload();
   sched::Task<> leave();
   sched::Task<> tally();
 
--- a/src/front/given.cpp
+++ b/src/front/given.cpp
@@ -30,7 +30,19 @@
   if (!path || !*path) throw Malformed("LB_CONFIG names no file");
   std::ifstream file(path, std::ios::binary);
   if (!file) throw Malformed(std::string("the configuration can't be opened: ") + path);
-  return givenFrom({std::istreambuf_iterator<char>(file), {}});
+  Given g = givenFrom({std::istreambuf_iterator<char>(file), {}});
+  g.path = path;
+  return g;
+}
+
+std::vector<const char*> changedForRestart(const Given& a, const Given& b) {
+  std::vector<const char*> fields;
+  if (a.name != b.name) fields.push_back("name");
+  if (!sched::sameAddress(a.listen, b.listen)) fields.push_back("listen");
+  if (a.terms.seed != b.terms.seed) fields.push_back("seed");
+  if (a.sockets != b.sockets) fields.push_back("limits");
+  if (a.settings != b.settings) fields.push_back("settings");
+  return fields;
 }
 
 Given givenFrom(const std::string& text) {
@@ -49,10 +61,9 @@
   if (!seedValue) badValue("seed", seed);
   if (!peers::readRoster(need(config, "known", Kind::object), g.known, why))
     throw Malformed("the known list makes no sense: " + why);
-  Params params;
-  params.add("", need(config, "settings", Kind::object));
-  g.terms = termsFrom(params, *seedValue, g.names);
-  g.keepalive = Span{params.integer("limits.keepalive")};
+  g.settings.add("", need(config, "settings", Kind::object));
+  g.terms = termsFrom(g.settings, *seedValue, g.names);
+  g.keepalive = Span{g.settings.integer("limits.keepalive")};
   if (g.keepalive <= g.terms.connectTimeout || g.terms.connectTimeout <= Span{})
     throw Malformed("limits.keepalive must be above limits.connect_timeout, and that above 0");
   // The smaller of what the platform states and what the process may really hold.
--- a/src/front/given.h
+++ b/src/front/given.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "peers/list.h"
 #include "rules.h"
@@ -11,11 +12,13 @@
 namespace reedchute::front {
 
 struct Given {
+  std::string path;  // of the file
   std::string name;
   sockaddr_in listen{}, discovery{};
   std::string discoveryHost;
   std::size_t sockets = 0;
   peers::Roster known;
+  Params settings;
   Names names;
   Terms terms;
   Span keepalive;
@@ -25,4 +28,7 @@
 Given readGiven(const char* path);
 Given givenFrom(const std::string& text);
 
+// The fields in which they differ and which only a restart takes up.
+std::vector<const char*> changedForRestart(const Given& a, const Given& b);
+
 }  // namespace reedchute::front
--- a/src/front/main.cpp
+++ b/src/front/main.cpp
@@ -7,6 +7,8 @@
 #include "log/log.h"
 
 int main() {
+  // Danger: a signal that comes before the front takes it over would end the program.
+  reedchute::front::Front::holdSignals();
   reedchute::log::neverBlock();
   try {
     reedchute::front::Front front(reedchute::front::readGiven(std::getenv("LB_CONFIG")));
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -11,7 +11,8 @@
 constexpr std::size_t kMostMessage = 160 * 1024;  // a value of 64 KiB in hex digits, and the rest
 constexpr std::size_t kMostStartup = 10'000;      // as PostgreSQL has it
 constexpr std::size_t kMostAhead = 16 * 1024;     // read while an answer is still owed
-constexpr int kInARow = 16;                       // messages of one client before others have their turn
+constexpr std::size_t kMostDrained = 64 * 1024;   // read from a client that has had its last word
+constexpr int kInARow = 16;  // messages of one client, or new clients, before others have their turn
 constexpr std::size_t kTurning = 8;  // clients turned away at once; the next waits to be accepted
 
 }  // namespace
@@ -55,8 +56,11 @@
   std::string in, out;
   std::size_t used = 0;
   int stmt = -1;
-  std::list<Session*>::iterator place, idlePlace;
-  bool greeted = false, ending = false, idle = false;
+  std::list<Session*>::iterator place, waitPlace;
+  std::list<Session*>* waits = nullptr;  // the list that it stands in while it waits for its client
+  TimePoint waitsSince;
+  TimePoint begun = kNever;  // when its first unfinished message was first waited for
+  bool greeted = false, ending = false;
   int inARow = 0;  // messages taken since it last had nothing to read
 };
 
@@ -79,16 +83,21 @@
   for (Session* s : sessions_) s->socket.in.set();
 }
 
-bool Clients::closeLongestIdle() {
-  if (idle_.empty()) return false;
-  Session* s = idle_.front();
-  idle_.pop_front();
-  s->idle = false;
+// Danger: those who connect by hundreds and say nothing would keep out whoever has something to ask. They make
+// room first; but one that has just come may still be about to speak.
+bool Clients::makeRoom() {
+  bool silent = !unheard_.empty() && scheduler_.now() - unheard_.front()->waitsSince > limits_.linger * 0.5;
+  std::list<Session*>& from = silent || idle_.empty() ? unheard_ : idle_;
+  if (from.empty()) return false;
+  Session* s = from.front();
+  from.pop_front();
+  s->waits = nullptr;
   s->socket.close();
   return true;
 }
 
 sched::Task<> Clients::accept() {
+  int inARow = 0;
   while (listener_->open()) {
     if (turning_ >= kTurning) {
       co_await listener_->in.wait(scheduler_.now() + limits_.linger);
@@ -100,19 +109,24 @@
       // Danger: with no descriptor left, accept fails at once for as long as anyone waits: no spinning on it.
       if (full) {
         log::line("descriptors_gone", "sessions=%zu", sessions_.size());
-        closeLongestIdle();
+        makeRoom();
         co_await listener_->in.wait(scheduler_.now() + limits_.linger);
       } else {
         co_await listener_->in.wait();
       }
+      inARow = 0;
       continue;
     }
-    bool turnAway = sessions_.size() >= limits_.sessions && !closeLongestIdle();
+    bool turnAway = sessions_.size() >= limits_.sessions && !makeRoom();
     if (turnAway) log::line("client_turned_away", "sessions=%zu", sessions_.size()), ++turning_;
     auto s = std::make_unique<Session>(scheduler_, fd);
     sessions_.push_back(s.get());
     s->place = std::prev(sessions_.end());
     scheduler_.spawn(serve(std::move(s), turnAway));
+    if (++inARow < kInARow) continue;
+    // Danger: clients that come again at once without end would keep all others waiting.
+    inARow = 0;
+    co_await sched::sleepUntil(scheduler_, scheduler_.now() + Span{1});
   }
 }
 
@@ -141,14 +155,20 @@
   if (got == sched::Socket::Got::some) co_return true;
   if (got == sched::Socket::Got::ended || (idle && away_)) co_return false;
   s.inARow = 0;
-  if (idle) {
-    idle_.push_back(&s);
-    s.idlePlace = std::prev(idle_.end());
-    s.idle = true;
-  }
-  bool set = co_await s.socket.in.wait(idle ? kForever : scheduler_.now() + limits_.patience);
-  if (std::exchange(s.idle, false)) idle_.erase(s.idlePlace);
-  co_return set;
+  s.waits = idle ? &idle_ : &unheard_;
+  s.waits->push_back(&s);
+  s.waitPlace = std::prev(s.waits->end());
+  s.waitsSince = scheduler_.now();
+  if (idle) s.begun = kNever;
+  if (!idle && s.begun == kNever) s.begun = s.waitsSince;
+  bool set = co_await s.socket.in.wait(idle ? s.waitsSince + limits_.idle : s.begun + limits_.silence);
+  if (s.waits) std::exchange(s.waits, nullptr)->erase(s.waitPlace);
+  if (set) co_return true;
+  // Danger: clients that ask once and keep their connection for good pile up.
+  if (idle) co_return sessions_.size() * 2 <= limits_.sessions;
+  log::line("client_silent", "what=%s", s.greeted ? "message" : "startup");
+  s.end("08P01", s.greeted ? "a message that was not finished in time" : "no startup message in time");
+  co_return true;
 }
 
 sched::Task<> Clients::answerOwed(Session& s) {
@@ -164,6 +184,7 @@
 }
 
 sched::Task<bool> Clients::take(Session& s, pg::Message m) {
+  s.begun = kNever;
   if (++s.inARow > kInARow) {
     // Danger: a client that sends without end would keep all others waiting.
     s.inARow = 0;
@@ -198,11 +219,17 @@
   TimePoint until = scheduler_.now() + limits_.linger;
   bool written = co_await s.flush(until);
   s.socket.endWriting();
-  while (written && s.socket.open()) {
+  std::size_t drained = 0;
+  while (written && s.socket.open() && drained < kMostDrained) {
     s.in.clear(), s.used = 0;
     sched::Socket::Got got = s.socket.read(s.in, kMostAhead);
+    drained += s.in.size();
     if (got == sched::Socket::Got::ended) break;
-    if (got == sched::Socket::Got::some) continue;
+    // Danger: one who goes on sending at full speed would have this thread for itself.
+    if (got == sched::Socket::Got::some) {
+      co_await sched::sleepUntil(scheduler_, scheduler_.now() + Span{1});
+      continue;
+    }
     bool set = co_await s.socket.in.wait(until);
     if (!set) break;
   }
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -27,7 +27,9 @@
   struct Limits {
     std::size_t sessions = 0;
     Span linger;    // that a refused client is given to read why
-    Span patience;  // that a client is given to read an answer or to finish a message
+    Span patience;  // that a client is given to read an answer
+    Span silence;   // that a client is given to say what it wants, and to finish a message
+    Span idle;      // after which an idle connection goes where many are held
   };
 
   Clients(sched::Scheduler& s, Desk& desk, Limits limits);
@@ -50,14 +52,16 @@
   sched::Task<bool> take(Session& s, pg::Message m);
   sched::Task<> answerOwed(Session& s);  // returns at once where none is
   sched::Task<> letRead(Session& s);
-  bool closeLongestIdle();
+  bool makeRoom();
 
   sched::Scheduler& scheduler_;
   Desk& desk_;
   Limits limits_;
   std::unique_ptr<sched::Descriptor> listener_;
   std::list<Session*> sessions_;
-  std::list<Session*> idle_;  // the one idle longest first
+  // Those that wait for their client, the one that has waited longest first: with nothing open or in the
+  // buffer; and before a whole startup or in the middle of a message.
+  std::list<Session*> idle_, unheard_;
   bool away_ = false;
   std::size_t turning_ = 0;  // clients that are being turned away
 };
--- a/src/peers/list.cpp
+++ b/src/peers/list.cpp
@@ -85,11 +85,20 @@
 
 void List::ask() { asked_.set(); }
 
+void List::moveTo(sockaddr_in service, std::string host) {
+  service_ = service, host_ = std::move(host);
+  moved_ = true, known_ = false;
+  if (socket_) socket_->close();
+  asked_.set();
+}
+
 sched::Task<> List::run() {
   for (;;) {
-    if (pace_.onDemand) co_await asked_.wait();
+    if (pace_.onDemand && !moved_) co_await asked_.wait();
+    moved_ = false;
     // A watch goes on for as long as each next call follows the last answer at once.
     for (bool good = true; good;) good = co_await call();
+    if (moved_) continue;
     if (pace_.onDemand) {
       keeper_.listFailed();  // and the module says when to call again
     } else {
@@ -107,7 +116,8 @@
   Span limit = whole ? pace_.wait : pace_.wait * 1.5;
   std::string body;
   bool got = co_await exchange(path, scheduler_.now() + limit, body);
-  if (got && take(body, whole)) co_return true;
+  // Danger: the last word of the old service, taken for the new one's, would hide what the new one has to tell.
+  if (got && !moved_ && take(body, whole)) co_return true;
   socket_.reset();
   in_.clear();
   co_return false;
--- a/src/peers/list.h
+++ b/src/peers/list.h
@@ -50,6 +50,9 @@
   List(sched::Scheduler& s, Keeper& keeper, sockaddr_in service, std::string host, Pace pace);
 
   sched::Task<> run();
+  // The service is at another address from now on: a call to the old one ends at once, and the whole list is
+  // fetched from the new one. A version counts only where it came from.
+  void moveTo(sockaddr_in service, std::string host);
   void ask();  // where it comes on demand
 
  private:
@@ -66,7 +69,7 @@
   std::optional<sched::Socket> socket_;
   std::string in_;
   std::int64_t version_ = 0;
-  bool known_ = false;
+  bool known_ = false, moved_ = false;
 };
 
 }  // namespace reedchute::peers
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -1,6 +1,7 @@
 #include "peers/stores.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "base/number.h"
@@ -9,12 +10,20 @@
 namespace reedchute::peers {
 namespace {
 
+constexpr double kMostNumber = 1e12;  // of a report's figures; positions are seconds
 constexpr const char *kUser = "web", *kDatabase = "orders";  // as clients give them
 constexpr std::size_t kMostMessage = 256 * 1024;  // a value of 64 KiB, even written as hex digits, fits twice
 
+// SQLSTATE classes by which a store says that the statement is at fault, wherever it is sent.
+bool blamesStatement(std::string_view code) {
+  for (std::string_view kind : {"0A", "21", "22", "23", "42", "44", "54"})
+    if (code.substr(0, 2) == kind) return true;
+  return false;
+}
+
 }  // namespace
 
-Report readReport(std::string_view text) {
+Report readReport(std::string_view text, TimePoint newest) {
   Report report;
   while (!text.empty()) {
     std::size_t comma = text.find(',');
@@ -23,11 +32,13 @@
     std::size_t equals = pair.find('=');
     if (equals == std::string_view::npos) continue;
     std::optional<double> value = numberIn<double>(pair.substr(equals + 1));
-    if (!value) continue;
+    if (!value || !(std::abs(*value) < kMostNumber)) continue;  // nor infinity, nor what is no number
     // Danger: a store that has no position yet says 0, and no primary; taken for a report it would hide the
     // one.
     if (pair.substr(0, equals) == "x0" && *value > 0)
       report.position = TimePoint{static_cast<std::int64_t>(*value * 1e6)};
+    // Danger: a position ahead of the clock would hide every later one, and make stale reads look fresh.
+    if (report.position && *report.position > newest) return {};
     if (pair.substr(0, equals) == "x1") report.primary = *value > 0.5;
   }
   return report;
@@ -42,10 +53,11 @@
   // Takes one message off the buffer; `broken` where the stream makes no sense.
   Seen take(pg::Message& m) {
     used = 0;
+    if (!pg::storeMessageMayFollow(in)) return Seen::broken;
     switch (pg::frame(in, kMostMessage, m)) {
       case pg::Framed::whole:
         used = m.whole.size();
-        return Seen::good;
+        return pg::wellFormed(m) ? Seen::good : Seen::broken;
       case pg::Framed::partial:
         return Seen::nothing;
       default:
@@ -62,8 +74,9 @@
     return in.empty();
   }
 
-  // The next message, in `in` until drop(); false where the connection ended or the time came first.
-  sched::Task<bool> next(pg::Message& m, TimePoint until) {
+  // The next message, in `in` until drop(); false where the connection ended or the time came first, and where
+  // the store makes a pause of `pause` in the middle of its answer.
+  sched::Task<bool> next(pg::Message& m, TimePoint until, bool begun = false) {
     for (;;) {
       Seen seen = take(m);
       if (seen == Seen::good) co_return true;
@@ -74,13 +87,19 @@
       sched::Socket::Got got = socket.read(in, kMostMessage * 2);
       if (got == sched::Socket::Got::some) continue;
       if (got == sched::Socket::Got::ended) co_return false;
-      bool set = co_await socket.in.wait(until);
+      // Danger: a length that promises more than ever comes would hold the job for all of its time.
+      TimePoint stalls = scheduler().now() + stores.limits_.connectTimeout;
+      bool waits = (begun || !in.empty()) && stalls < until;
+      bool set = co_await socket.in.wait(waits ? stalls : until);
       if (!set) {
-        late = true;
+        (waits ? garbled : late) = true;
         co_return false;
       }
     }
   }
+  sched::Scheduler& scheduler() { return stores.scheduler_; }
+  // A commit's time is rounded up, and clocks are read at different moments: a little ahead is no untruth.
+  TimePoint newest() { return scheduler().now() + stores.limits_.connectTimeout; }
 
   Stores& stores;
   int store;
@@ -101,9 +120,9 @@
   if (!name || !value) return;
   if (*name == "server_role")
     to.role = *value == "writer" ? Role::primary : *value == "reader" ? Role::replica : Role::unknown;
-  if (*name == "usage") to.report = readReport(*value);
+  if (*name == "usage") to.report = readReport(*value, newest());
   if (*name == "commit_clock")
-    if (auto ms = numberIn<double>(*value); ms && *ms > 0)
+    if (auto ms = numberIn<double>(*value); ms && *ms > 0 && *ms * 1000 <= static_cast<double>(newest().us))
       to.position = TimePoint{static_cast<std::int64_t>(*ms * 1000)};
 }
 
@@ -147,7 +166,7 @@
   bool described = false, complete = false, failed = false;
   for (;;) {
     pg::Message m;
-    bool got = co_await next(m, j.until);
+    bool got = co_await next(m, j.until, described || failed);
     if (!got) break;
     bool sound = true;
     switch (m.type) {
@@ -157,11 +176,11 @@
         j.row.append(m.whole);
         break;
       case 'D':
-        sound = described && !complete && !failed && rows == 0 && pg::oneColumn(m.payload);
+        sound = described && !complete && !failed && rows == 0;
         ++rows;
         j.row.append(m.whole);
         if (j.stmt < 0)
-          if (auto value = pg::firstColumn(m.payload)) j.value = *value;
+          if (auto value = pg::firstColumn(m.payload)) j.report = readReport(*value, newest());
         break;
       case 'C':
         sound = rows == 1 && !complete && !failed;
@@ -170,13 +189,15 @@
         break;
       case 'E': {
         std::string_view code = pg::errorField(m.payload, 'C');
+        sound = !failed && !complete;
         failed = true;
+        j.row = m.whole;
         if (code == "25006" || code == "72000")
           j.ending = Ending::miss;
         else if (code == "53300")
           j.ending = Ending::full;
         else
-          j.ending = Ending::error;
+          j.ending = blamesStatement(code) ? Ending::invalid : Ending::error;
         if (code != "25006" && code != "72000" && code != "53300" && code != "XX000" && j.stmt >= 0)
           log::line("store_error", "store=%d code=%.5s", store, std::string(code).c_str());
         break;
@@ -188,25 +209,32 @@
         break;
       case 'Z':
         sound = complete != failed;
-        if (sound && complete) j.ending = Ending::ok;
         drop();
-        if (!sound) j.ending = Ending::reset;
-        co_return sound;
+        if (!sound) {
+          garbled = true;
+          break;
+        }
+        if (complete) j.ending = Ending::ok;
+        co_return true;
       default:
         sound = false;
     }
     drop();
-    if (!sound) {
-      garbled = true;
-      break;
-    }
+    garbled |= !sound;
+    if (garbled) break;
+  }
+  if (garbled) {
+    log::line("store_garbled", "store=%d", store);
+    // Danger: nothing of a spoilt answer is to be believed, least of all that the statement never ran.
+    j.role = Role::unknown, j.position.reset(), j.report = {};
+    j.ending = j.cancelled ? Ending::cancelled : Ending::spoilt;
+    co_return false;
   }
-  if (garbled) log::line("store_garbled", "store=%d", store);
   if (failed) co_return false;  // its word stands, though the connection ended before it was ready again
-  j.ending = j.cancelled            ? Ending::cancelled
-             : complete && !garbled ? Ending::ok
-             : late                 ? Ending::timeout
-                                    : Ending::reset;
+  j.ending = j.cancelled ? Ending::cancelled
+             : complete  ? Ending::ok
+             : late      ? Ending::timeout
+                         : Ending::reset;
   co_return false;
 }
 
@@ -220,8 +248,7 @@
 void Stores::place(int store, const sockaddr_in& address) {
   if (static_cast<std::size_t>(store) >= pools_.size()) pools_.resize(static_cast<std::size_t>(store) + 1);
   Pool& pool = poolOf(store);
-  bool moved = pool.address && (pool.address->sin_addr.s_addr != address.sin_addr.s_addr ||
-                                pool.address->sin_port != address.sin_port);
+  bool moved = pool.address && !sched::sameAddress(*pool.address, address);
   pool.address = address;
   if (moved) release(store);  // danger: what still answers at the old address is not this store
 }
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -27,8 +27,7 @@
   bool cancelled = false;
   // what came back
   Ending ending = Ending::moot;
-  std::string row;    // RowDescription, DataRow and CommandComplete as they came
-  std::string value;  // a probe's: the column's text
+  std::string row;    // RowDescription, DataRow and CommandComplete as they came, or an error in their place
   Role role = Role::unknown;
   std::optional<TimePoint> position;
   Report report;
@@ -90,7 +89,7 @@
   std::vector<std::unique_ptr<Job>> jobs_;
 };
 
-// name=value pairs set apart by commas, as reports come.
-Report readReport(std::string_view text);
+// name=value pairs set apart by commas, as reports come. One whose position lies after `newest` is none.
+Report readReport(std::string_view text, TimePoint newest);
 
 }  // namespace reedchute::peers
--- a/src/pg/messages.cpp
+++ b/src/pg/messages.cpp
@@ -54,6 +54,75 @@
   return Framed::whole;
 }
 
+namespace {
+
+constexpr std::size_t kMostValue = 64 * 1024;
+
+// What a store's message may state as its length, by type; 0: no such message is known.
+std::size_t mostOf(char type) {
+  switch (type) {
+    case 'D':
+      return 2 * kMostValue + 64;  // in hex digits too
+    case 'T':
+    case 'E':
+    case 'N':
+    case 'S':
+      return 8 * 1024;
+    case 'C':
+      return 256;
+    case 'R':
+    case 'K':
+      return 64;
+    case 'Z':
+      return 5;
+    default:
+      return 0;
+  }
+}
+
+}  // namespace
+
+bool storeMessageMayFollow(std::string_view bytes) {
+  if (bytes.empty()) return true;
+  std::size_t most = mostOf(bytes[0]);
+  if (most == 0) return false;
+  if (bytes.size() < 5) return true;
+  std::uint32_t length = read32(bytes.substr(1));
+  if (length < 4 || length > most) return false;
+  if (bytes[0] != 'D' || bytes.size() < 11) return true;
+  // Danger: a row that states more than its value has would swallow all that follows.
+  std::uint32_t column = read32(bytes.substr(7));
+  return bytes[5] == 0 && bytes[6] == 1 && length == (column == 0xffffffff ? 10 : column + 10ULL);
+}
+
+bool wellFormed(const Message& m) {
+  std::string_view rest = m.payload;
+  bool more = true;
+  switch (m.type) {
+    case 'T':
+      if (rest.substr(0, 2) != std::string_view("\0\1", 2)) return false;
+      rest.remove_prefix(2);
+      return takeString(rest) && rest.size() == 18;
+    case 'D':
+      return oneColumn(rest);
+    case 'C':
+      return takeString(rest) && rest.empty();
+    case 'S':
+      return takeString(rest) && takeString(rest) && rest.empty();
+    case 'Z':
+      return rest == "I" || rest == "T" || rest == "E";
+    case 'E':
+    case 'N':
+      while (more && !rest.empty() && rest[0] != '\0') {
+        rest.remove_prefix(1);
+        more = takeString(rest).has_value();
+      }
+      return more && rest.size() == 1 && (m.type == 'N' || errorField(m.payload, 'C').size() == 5);
+    default:
+      return true;
+  }
+}
+
 std::optional<std::string_view> takeString(std::string_view& payload) {
   std::size_t end = payload.find('\0');
   if (end == std::string_view::npos) return std::nullopt;
--- a/src/pg/messages.h
+++ b/src/pg/messages.h
@@ -29,6 +29,13 @@
 // The same for a client's first message, which has no type; `code` is its version or what it asks for.
 Framed frameStartup(std::string_view bytes, std::size_t most, std::int32_t& code, std::size_t& size);
 
+// Can the store's message that begins here still become one? Told by its type and stated length as soon as
+// those are there, and of a row by the length of its column.
+bool storeMessageMayFollow(std::string_view bytes);
+
+// Is the payload of a store's message as the protocol has it, to its last byte?
+bool wellFormed(const Message& m);
+
 // A zero-ended string at the start of `payload`, which then begins behind it.
 std::optional<std::string_view> takeString(std::string_view& payload);
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -127,9 +127,7 @@
     if (static_cast<int>(groups_.size()) <= e.group) groups_.resize(e.group + 1);
     groups_[e.group].members.push_back(s), S.group[s] = e.group;
   }
-  S.zone[s] = e.zone;
-  S.weight[s] = e.weight > 0 ? e.weight : 1;
-  S.inList[s] = 1;
+  S.zone[s] = e.zone, S.weight[s] = e.weight > 0 ? e.weight : 1, S.inList[s] = 1;
   // Where a vanished store is not bound by the drain rule the list does not prove what is up: health decides.
   if (e.listed != Listed::gone || terms_.goneBinds) S.listed[s] = e.listed;
   if (e.started && *e.started > S.started[s]) begins(s, *e.started, now), S.goodShare[s] = 1, unblock(s);
@@ -457,8 +455,10 @@
 void Rules::learnHealth(int s, int workload, const Result& r, TimePoint sent, bool paced, TimePoint now) {
   Stores& S = stores_;
   Span slo = terms_.workloads[workload].slo, &usual = typical_[workload];
-  bool well = r.ending == Ending::ok || r.ending == Ending::miss;
-  if (well || r.ending == Ending::full || r.ending == Ending::error) S.heard[s] = now;
+  bool well = r.ending == Ending::ok || r.ending == Ending::miss || r.ending == Ending::invalid;
+  // Danger: a spoilt answer taken for a death would block store after store where all spoil some alike.
+  bool wrong = r.ending == Ending::error || r.ending == Ending::spoilt;
+  if (well || wrong || r.ending == Ending::full) S.heard[s] = now;
   if (well) healed(s, now);
   if (r.ending == Ending::ok) {
     S.goodShare[s] += kLearn * (1 - S.goodShare[s]);
@@ -468,7 +468,7 @@
       cutLimit(s, sent, now);
     else if (paced && S.out[s] + 1 >= S.limit[s] * 0.5)
       S.limit[s] += std::min(S.limit[s] * kGrow, 1 / S.limit[s]);
-  } else if (r.ending == Ending::error) {
+  } else if (wrong) {
     S.goodShare[s] -= kLearn * S.goodShare[s];
   } else if (r.ending == Ending::full) {
     cutLimit(s, sent, now);
@@ -785,9 +785,8 @@
     }
   }
   if (r.report.position) learnPosition(e.store, *r.report.position, refresh_ + reportAge_, now);
-  if (r.closed) st.open = false;
+  st.open &= !r.closed, st.tries += r.ending == Ending::miss;
   if (!st.open) return;
-  if (r.ending == Ending::miss) ++st.tries;
   if (r.ending == Ending::error || r.ending == Ending::full)
     st.notBefore = now + terms_.tick * static_cast<double>(st.executions.size() - 1);
   if (!isOut(st)) groups_[st.group].waiting.push_back(stmt);
--- a/src/rules.h
+++ b/src/rules.h
@@ -17,7 +17,9 @@
 enum class Scope { everywhere, zone, group };
 enum class Listed { up, draining, gone };
 enum class Role { unknown, primary, replica };
-enum class Ending { ok, miss, full, error, timeout, connectFailed, reset, cancelled, moot };
+// `spoilt`: it has answered, with what can't be read, and may have run it. `invalid`: it answered that the
+// statement itself is wrong, whichever store gets it; its client is told so.
+enum class Ending { ok, miss, full, error, spoilt, invalid, timeout, connectFailed, reset, cancelled, moot };
 
 // A row a workload.
 struct Workload {
--- a/src/sched/socket.cpp
+++ b/src/sched/socket.cpp
@@ -38,6 +38,10 @@
   return a;
 }
 
+bool sameAddress(const sockaddr_in& a, const sockaddr_in& b) {
+  return a.sin_addr.s_addr == b.sin_addr.s_addr && a.sin_port == b.sin_port;
+}
+
 int listenOn(const sockaddr_in& address) {
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   int on = 1;
--- a/src/sched/socket.h
+++ b/src/sched/socket.h
@@ -15,6 +15,8 @@
 // system's choice, only where that is asked for.
 std::optional<sockaddr_in> parseAddress(std::string_view text, bool zeroPort = false);
 
+bool sameAddress(const sockaddr_in& a, const sockaddr_in& b);
+
 // A listening descriptor. Throws std::runtime_error, naming the address, where it can't be had.
 int listenOn(const sockaddr_in& address);
 
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -14,7 +14,7 @@
     free_.pop_back();
   }
   row(stmt) = std::move(st);
-  ++open_;
+  openIds_.insert(row(stmt).id);
   touch();
   return stmt;
 }
@@ -29,7 +29,7 @@
   if (!st.open) return;
   st.open = false;
   st.asker = nullptr;
-  --open_;
+  openIds_.erase(st.id);
   offer(stmt);
 }
 
@@ -55,14 +55,17 @@
   touch();
   TimePoint now = scheduler_.now();
   if (job.stmt < 0) {
+    // Danger: a store whose answer can't be read has answered; it is not away.
     bool ok = job.ending == Ending::ok;
-    rules_.probed(job.store, ok, ok ? peers::readReport(job.value) : Report{}, now);
+    rules_.probed(job.store, ok || job.ending == Ending::spoilt || job.ending == Ending::invalid, job.report,
+                  now);
     return;
   }
   Statement& st = row(job.stmt);
   st.jobs[static_cast<std::size_t>(job.execution)] = nullptr;
   --st.out;
-  bool completes = st.open && job.ending == Ending::ok;
+  // An error that blames the statement is its client's to see, as the store worded it.
+  bool completes = st.open && (job.ending == Ending::ok || job.ending == Ending::invalid);
   Result r;
   r.execution = job.execution;
   r.ending = job.ending;
--- a/src/stages/book.h
+++ b/src/stages/book.h
@@ -22,7 +22,8 @@
   void close(int stmt);
   // Rows whose last fact the module has seen in a round can be used again.
   void roundEnded();
-  std::size_t openCount() const { return open_; }
+  std::size_t openCount() const { return openIds_.size(); }
+  const OpenIds& openIds() const { return openIds_; }
   // Has the module been told anything since the last round?
   bool touched() const { return touched_; }
   void touch();
@@ -38,7 +39,7 @@
   Relay& relay_;
   std::vector<Statement> rows_;
   std::vector<int> free_, leaving_;
-  std::size_t open_ = 0;
+  OpenIds openIds_;
   bool touched_ = false;
 };
 
--- a/src/stages/statement.h
+++ b/src/stages/statement.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "base/time.h"
@@ -9,6 +10,9 @@
 
 namespace reedchute::stages {
 
+// The ids of statements that are owed an answer.
+using OpenIds = std::unordered_set<std::string>;
+
 // The client connection that a statement came on.
 class Asker {
  public:
@@ -18,7 +22,7 @@
 
 struct Statement {
   Asker* asker = nullptr;  // none once it is answered or its client has gone
-  std::string text;        // as it came
+  std::string id, text;    // as they came
   std::size_t waitAt = 0, waitSize = 0;
   bool open = false;
   int out = 0;
--- a/src/stages/take_in.cpp
+++ b/src/stages/take_in.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t kMostText = 64 * 1024 * 2 + 4096;  // a value of 64 KiB in hex digits, and the rest
 constexpr std::int64_t kLongestWaitMs = 86'400'000;
+constexpr std::int64_t kLatestMs = 100'000'000'000'000;  // far ahead, and far from what microseconds can hold
 
 std::string refusal(std::string_view code, std::string_view text) {
   log::line("bad_statement", "code=%s what=\"%s\"", std::string(code).c_str(), std::string(text).c_str());
@@ -51,12 +52,18 @@
   if (a.workload < 0) return refusal("22023", "an unknown workload");
   a.group = groups_.find(*f.group);
   if (a.group < 0) return refusal("22023", "an unknown group");
+  // Danger: of two open statements with one id, the later would pass for the earlier wherever ids are told apart.
+  if (openIds_.contains(std::string(f.id))) return refusal("22023", "an id that is open already");
+  if (names_.marked[static_cast<std::size_t>(a.workload)] && f.mark.empty())
+    return refusal("22023", "no k where the workload needs one");
+  if (f.afterMs && (*f.afterMs < 0 || *f.afterMs > kLatestMs)) return refusal("22023", "a position that makes no sense");
   if (*f.waitMs > kLongestWaitMs) return refusal("22023", "a wait that makes no sense");
   a.giveUpAt = now + Span{*f.waitMs * 1000};
   a.session = sessionOf(f.key);
   a.repeated = f.repeated;
   // Danger: a commit's time is rounded up and may lie ahead of this clock; it is a write all the same.
   if (f.afterMs) a.sinceWrite = std::max(Span{1}, now - TimePoint{*f.afterMs * 1000});
+  taken.statement.id = f.id;
   taken.statement.text = text;
   taken.statement.waitAt = f.waitAt, taken.statement.waitSize = f.waitSize;
   return std::nullopt;
--- a/src/stages/take_in.h
+++ b/src/stages/take_in.h
@@ -21,7 +21,8 @@
 
 class TakeIn {
  public:
-  TakeIn(const Names& names, const Index<std::int64_t>& groups) : names_(names), groups_(groups) {}
+  TakeIn(const Names& names, const Index<std::int64_t>& groups, const OpenIds& openIds)
+      : names_(names), groups_(groups), openIds_(openIds) {}
 
   // Either fills `taken`, or returns the whole answer that the client gets at once.
   std::optional<std::string> read(std::string_view text, TimePoint now, Taken& taken) const;
@@ -29,6 +30,7 @@
  private:
   const Names& names_;
   const Index<std::int64_t>& groups_;
+  const OpenIds& openIds_;
 };
 
 }  // namespace reedchute::stages
--- a/src/terms/params.h
+++ b/src/terms/params.h
@@ -46,6 +46,7 @@
   std::int64_t integer(const std::string& path, std::int64_t otherwise) const;
   bool boolean(const std::string& path, bool otherwise) const;
   std::vector<std::string> list(const std::string& path) const;
+  bool operator==(const Params&) const = default;
 
  private:
   std::map<std::string, std::string> values_;
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -39,6 +39,7 @@
     if (k < bounds.size())
       w.bound = Span{static_cast<std::int64_t>(numberFrom(bounds[k], "extra.lag_allowed"))};
     w.effect = meaning(kEffects, p.need(at + "repeat"), "classes[].repeat");
+    names.marked.push_back(w.effect == Effect::deduplicated);
     if (w.effect == Effect::deduplicated) {
       w.scope = meaning(kScopes, p.need(at + "key_scope"), "classes[].key_scope");
       w.window = Span{p.integer(at + "repeat_window")};
