--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -173,7 +173,9 @@
 
 // What becomes of a statement is the first word of its key: ok, miss, full, error, stale, break (after it was
 // taken), silent, half (a row cut off), garbage, long (a message without end), twice (a row too many), more
-// (a row after the answer), or slow and a number of milliseconds.
+// (a row after the answer), copy (the whole answer once more), noise (no message at all), longer (a row that
+// promises more than comes), liar (never ran, it says, and goes on with noise), wrong (the statement is at fault),
+// unread (a report that can't be read), or slow and a number of milliseconds.
 sched::Task<bool> Toy::doStatement(int number, sched::Socket& s, std::string text) {
   Store& store = *stores_[static_cast<std::size_t>(number)];
   pg::Fields f;
@@ -221,6 +223,22 @@
   } else if (word == "more") {
     out = row("value of more") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready() +
           row("unasked");
+  } else if (word == "copy") {
+    out = row("value of copy") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
+    out += out;
+  } else if (word == "noise") {
+    out = std::string("T\0\0\0\x1d\0\1payload\0", 15) + "$%&";
+  } else if (word == "longer") {
+    out = row(std::string(100, 'x'));
+    out[out.size() - 103] = out[out.size() - 109] = 1;
+  } else if (word == "liar") {
+    out = pg::error(false, "53300", "the queue is full") + "\x01\x02";
+  } else if (word == "wrong") {
+    out = pg::error(false, "42601", "no such words") + role + pg::ready();
+  } else if (word == "unread") {
+    out = row("value of unread") + pg::message('C', std::string("SELECT 1\0", 9)) +
+          pg::parameter("usage", "x0=nan,x1=,=,inflight=-inf,x0=9e99") + pg::parameter("commit_clock", "1e300") +
+          pg::ready();
   } else if (word == "twice") {
     out = row("one") + row("two") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
   } else {
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -84,10 +84,12 @@
 }
 
 // Danger: those who connect by hundreds and say nothing would keep out whoever has something to ask. They make
-// room first; but one that has just come may still be about to speak.
+// room first, after those who have had their last word; but one that has just come may be about to speak.
 bool Clients::makeRoom() {
   bool silent = !unheard_.empty() && scheduler_.now() - unheard_.front()->waitsSince > limits_.linger * 0.5;
-  std::list<Session*>& from = silent || idle_.empty() ? unheard_ : idle_;
+  std::list<Session*>& from = !dismissed_.empty()       ? dismissed_
+                              : silent || idle_.empty() ? unheard_
+                                                        : idle_;
   if (from.empty()) return false;
   Session* s = from.front();
   from.pop_front();
@@ -130,6 +132,17 @@
   }
 }
 
+// Waits for more of this client; makeRoom() may close it meanwhile.
+sched::Task<bool> Clients::wait(Session& s, std::list<Session*>& among, TimePoint until) {
+  s.waits = &among;
+  among.push_back(&s);
+  s.waitPlace = std::prev(among.end());
+  s.waitsSince = scheduler_.now();
+  bool set = co_await s.socket.in.wait(until);
+  if (s.waits) std::exchange(s.waits, nullptr)->erase(s.waitPlace);
+  co_return set;
+}
+
 pg::Framed Clients::greet(Session& s) {
   std::int32_t code = 0;
   std::size_t size = 0;
@@ -155,14 +168,10 @@
   if (got == sched::Socket::Got::some) co_return true;
   if (got == sched::Socket::Got::ended || (idle && away_)) co_return false;
   s.inARow = 0;
-  s.waits = idle ? &idle_ : &unheard_;
-  s.waits->push_back(&s);
-  s.waitPlace = std::prev(s.waits->end());
-  s.waitsSince = scheduler_.now();
+  TimePoint now = scheduler_.now();
   if (idle) s.begun = kNever;
-  if (!idle && s.begun == kNever) s.begun = s.waitsSince;
-  bool set = co_await s.socket.in.wait(idle ? s.waitsSince + limits_.idle : s.begun + limits_.silence);
-  if (s.waits) std::exchange(s.waits, nullptr)->erase(s.waitPlace);
+  if (!idle && s.begun == kNever) s.begun = now;
+  bool set = co_await wait(s, idle ? idle_ : unheard_, idle ? now + limits_.idle : s.begun + limits_.silence);
   if (set) co_return true;
   // Danger: clients that ask once and keep their connection for good pile up.
   if (idle) co_return sessions_.size() * 2 <= limits_.sessions;
@@ -230,7 +239,7 @@
       co_await sched::sleepUntil(scheduler_, scheduler_.now() + Span{1});
       continue;
     }
-    bool set = co_await s.socket.in.wait(until);
+    bool set = co_await wait(s, dismissed_, until);
     if (!set) break;
   }
 }
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -52,6 +52,7 @@
   sched::Task<bool> take(Session& s, pg::Message m);
   sched::Task<> answerOwed(Session& s);  // returns at once where none is
   sched::Task<> letRead(Session& s);
+  sched::Task<bool> wait(Session& s, std::list<Session*>& among, TimePoint until);
   bool makeRoom();
 
   sched::Scheduler& scheduler_;
@@ -60,8 +61,8 @@
   std::unique_ptr<sched::Descriptor> listener_;
   std::list<Session*> sessions_;
   // Those that wait for their client, the one that has waited longest first: with nothing open or in the
-  // buffer; and before a whole startup or in the middle of a message.
-  std::list<Session*> idle_, unheard_;
+  // buffer; before a whole startup or in the middle of a message; to have its last word read.
+  std::list<Session*> idle_, unheard_, dismissed_;
   bool away_ = false;
   std::size_t turning_ = 0;  // clients that are being turned away
 };
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -10,6 +10,7 @@
 namespace reedchute::peers {
 namespace {
 
+constexpr double kSettle = 0.01;      // connect time-outs that a connection is idle before it is a sure one
 constexpr double kMostNumber = 1e12;  // of a report's figures; positions are seconds
 constexpr const char *kUser = "web", *kDatabase = "orders";  // as clients give them
 constexpr std::size_t kMostMessage = 256 * 1024;  // a value of 64 KiB, even written as hex digits, fits twice
@@ -258,8 +259,14 @@
   jobs_.push_back(std::move(job));
   Pool& pool = poolOf(j->store);
   if (!pool.idle.empty()) {
-    Connection* c = pool.idle.back();
-    pool.idle.pop_back();
+    // Danger: a store may close right behind its answer; a job that is written just then is lost. The one used
+    // last is taken of those that have been idle for a moment.
+    TimePoint settled = scheduler_.now() - limits_.connectTimeout * kSettle;
+    auto it = pool.idle.end() - 1;
+    while (it != pool.idle.begin() && (*it)->idleSince > settled) --it;
+    if ((*it)->idleSince > settled) it = pool.idle.end() - 1;
+    Connection* c = *it;
+    pool.idle.erase(it);
     c->job = j, j->on = c;
     c->socket.in.set();
     return j;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -130,7 +130,7 @@
   S.zone[s] = e.zone, S.weight[s] = e.weight > 0 ? e.weight : 1, S.inList[s] = 1;
   // Where a vanished store is not bound by the drain rule the list does not prove what is up: health decides.
   if (e.listed != Listed::gone || terms_.goneBinds) S.listed[s] = e.listed;
-  if (e.started && *e.started > S.started[s]) begins(s, *e.started, now), S.goodShare[s] = 1, unblock(s);
+  if (e.started && *e.started > S.started[s]) begins(s, *e.started, now), unblock(s);
   GroupState& g = groups_[e.group];
   if (e.primary && e.listed == Listed::up && S.role[s] == Role::unknown && g.primary != s &&
       (g.primary < 0 || (terms_.roleFollows && (g.named == Named::byList || !usable(g.primary, now)))))
@@ -456,8 +456,8 @@
   Stores& S = stores_;
   Span slo = terms_.workloads[workload].slo, &usual = typical_[workload];
   bool well = r.ending == Ending::ok || r.ending == Ending::miss || r.ending == Ending::invalid;
-  // Danger: a spoilt answer taken for a death would block store after store where all spoil some alike.
-  bool wrong = r.ending == Ending::error || r.ending == Ending::spoilt;
+  // Danger: a spoilt answer or one connection's end, taken for a death, would make store after store cold.
+  bool wrong = r.ending == Ending::error || r.ending == Ending::spoilt || r.ending == Ending::reset;
   if (well || wrong || r.ending == Ending::full) S.heard[s] = now;
   if (well) healed(s, now);
   if (r.ending == Ending::ok) {
@@ -475,9 +475,8 @@
     // Danger: a light front hears of a full queue once in seconds; one step would leave it standing.
     if (S.limit[s] < 1 && S.cutAt[s] == now) S.limit[s] *= kCut * kCut;
     if (S.out[s] == 0) blockStore(s, now, false);
-  } else if (r.ending == Ending::connectFailed || r.ending == Ending::reset) {
-    S.dead[s] |= r.ending == Ending::reset;
-    if (r.ending == Ending::connectFailed) crowdedAt_ = now;
+  } else if (r.ending == Ending::connectFailed) {
+    crowdedAt_ = now;
     if (sent >= S.blockedAt[s]) blockStore(s, now, true);  // what was sent before the block tells nothing new
   }
 }
@@ -690,7 +689,7 @@
 // at once. Each starts in debt by a random part of one, so that together they send what they have earned.
 void Rules::begins(int s, TimePoint at, TimePoint now) {
   if (at <= stores_.started[s]) return;
-  stores_.started[s] = at;
+  stores_.started[s] = at, stores_.goodShare[s] = 1;
   stores_.coldBudget[s] = -unit(chance_) * std::max_element(least_.begin(), least_.end())->seconds();
   stores_.coldFilled[s] = now;
 }
