Gone stores leave every place; buffers sized by memory_mb; jobs know their place

A store that the list dropped two keepalives ago and that nothing names any more leaves (Front::forgetGone, one call Rules::left), its index is used again. Sessions hold a quarter of the memory, statements in hand half, the list's body a sixty-fourth. Tests: passing (150 stores and clients leave nothing), memory (150 half statements of 150 KB at 32 MB), places.

--- a/src/base/index.h
+++ b/src/base/index.h
@@ -32,9 +32,19 @@
 
   void release(int ix) {
     map_.erase(ids_[static_cast<std::size_t>(ix)]);
+    ids_[static_cast<std::size_t>(ix)] = {};
     free_.push_back(ix);
   }
 
+  std::size_t size() const { return map_.size(); }
+
+  // Each index in use, in order.
+  template <class Do>
+  void each(Do act) const {
+    for (std::size_t k = 0; k < ids_.size(); ++k)
+      if (find(ids_[k]) == static_cast<int>(k)) act(static_cast<int>(k));
+  }
+
   const Id& id(int ix) const { return ids_[static_cast<std::size_t>(ix)]; }
 
  private:
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -15,10 +15,14 @@
 // stores'.
 constexpr std::size_t kReserve = 24;
 constexpr std::size_t kStorePart = 3;
+// Memory, as parts of what is allowed: buffers of clients, statements in hand with their answers, and the list as
+// it comes, which grows tenfold when it is read.
+constexpr std::size_t kClientPart = 4, kStatementPart = 2, kListPart = 64;
 // PROTOCOL: after SIGTERM clients keep coming for 0.2 to 0.4 s, and what arrives up to 0.7 s after it counts.
 constexpr Span kStillComing{550'000};
 // In connect time-outs: a client owes a whole message by then; an idle one may be closed.
 constexpr double kSilence = 6, kIdle = 8;
+constexpr double kRemembered = 2;  // keepalives that a store which is gone is remembered for
 constexpr Span kTallyEvery{5'000'000};
 
 peers::Stores::Limits storeLimits(const Given& g) {
@@ -28,7 +32,7 @@
 peers::Clients::Limits clientLimits(const Given& g) {
   std::size_t rest = g.sockets - kReserve;
   Span unit = g.terms.connectTimeout;
-  return {rest - rest / kStorePart, unit, g.keepalive, unit * kSilence, unit * kIdle};
+  return {rest - rest / kStorePart, unit, g.keepalive, unit * kSilence, unit * kIdle, g.memory / kClientPart};
 }
 
 sigset_t taken() {
@@ -66,7 +70,8 @@
       admit_(rules_, book_),
       clients_(scheduler_, *this, clientLimits(given_)),
       list_(scheduler_, *this, given_.discovery, given_.discoveryHost,
-            {given_.terms.askEvery, given_.terms.connectTimeout, given_.terms.mustAsk}),
+            {given_.terms.askEvery, given_.terms.connectTimeout, given_.terms.mustAsk},
+            given_.memory / kListPart),
       told_(scheduler_) {
   route_.list(&list_);
 }
@@ -93,6 +98,7 @@
   scheduler_.spawn(list_.run());
   scheduler_.spawn(leave());
   scheduler_.spawn(tally());
+  scheduler_.spawn(sweep());
   log::line("listening", "port=%d", clients_.listen(given_.listen));
   enter(Phase::serving);
   scheduler_.run([this] { route_.round(); });
@@ -144,12 +150,19 @@
   scheduler_.stop();
 }
 
+sched::Task<> Front::sweep() {
+  for (;;) {
+    co_await sched::sleepUntil(scheduler_, scheduler_.now() + given_.keepalive * 0.5);
+    forgetGone();
+  }
+}
+
 sched::Task<> Front::tally() {
   for (;;) {
     co_await sched::sleepUntil(scheduler_, scheduler_.now() + kTallyEvery);
-    log::line("tally", "taken=%llu open=%zu sessions=%zu store_connections=%zu",
+    log::line("tally", "taken=%llu open=%zu sessions=%zu store_connections=%zu stores=%zu gone=%zu",
               static_cast<unsigned long long>(taken_), book_.openCount(), clients_.sessions(),
-              stores_.connections());
+              stores_.connections(), storeIds_.size(), gone_.size());
     log::flushCounts();
   }
 }
@@ -161,6 +174,12 @@
     reply = std::move(*answer);
     return -1;
   }
+  // Danger: statements whose answers are long would together take all memory there is.
+  if (book_.held() + stages::Book::costOf(text.size()) > given_.memory / kStatementPart) {
+    log::line("memory_full", "bytes=%zu open=%zu", book_.held(), book_.openCount());
+    relay_.rejected(asker, Span{});
+    return -1;
+  }
   ++taken_;
   return admit_.admit(std::move(taken), asker, now);
 }
@@ -184,9 +203,15 @@
 void Front::tellList(const peers::Roster& roster, bool asked) {
   TimePoint now = scheduler_.now();
   rules_.listBegins(roster.full);
+  // Whoever a whole list leaves out is gone, unless it names it below.
+  if (roster.full) storeIds_.each([&](int store) { gone_.try_emplace(store, now); });
   for (const peers::Member& m : roster.members) {
     Entry e;
     e.store = storeIds_.add(m.id);
+    if (m.listed == Listed::gone)
+      gone_.try_emplace(e.store, now);
+    else
+      gone_.erase(e.store);
     e.group = groups_.add(m.group);
     e.zone = placeOf(given_.names.zones, m.zone);
     e.listed = m.listed;
@@ -203,7 +228,25 @@
   rules_.listEnds(asked);
   for (const peers::Member& m : roster.members)
     if (m.listed != Listed::up) stores_.withdraw(storeIds_.find(m.id));
+  if (given_.terms.goneBinds)
+    for (const auto& [store, since] : gone_) stores_.withdraw(store), stores_.release(store);
   book_.touch();
 }
 
+// Danger: with stores ever new, all that is kept of each would pile up. What is known of one is kept for a while,
+// as the list may drop by mistake what runs on; where a drop doesn't bind, for as long as the front runs.
+void Front::forgetGone() {
+  if (!given_.terms.goneBinds) return;
+  std::erase_if(gone_, [&](const auto& entry) {
+    auto [store, since] = entry;
+    if (scheduler_.now() - since < given_.keepalive * kRemembered) return false;
+    if (!stores_.unused(store) || book_.names(store)) return false;
+    log::line("forgotten", "store=%d id=%s", store, storeIds_.id(store).c_str());
+    rules_.left(store, scheduler_.now());
+    stores_.forget(store);
+    storeIds_.release(store);
+    return true;
+  });
+}
+
 }  // namespace reedchute::front
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <csignal>
+#include <map>
 #include <optional>
 
 #include "base/index.h"
@@ -48,15 +49,18 @@
  private:
   void enter(Phase p);
   void tellList(const peers::Roster& roster, bool asked);
+  void forgetGone();
   sched::Task<> watchSignals(int fd);
   void reload();
   sched::Task<> leave();
   sched::Task<> tally();
+  sched::Task<> sweep();
 
   Given given_;
   Phase phase_ = Phase::starting;
   sched::Scheduler scheduler_;
   Index<std::string> storeIds_;
+  std::map<int, TimePoint> gone_;  // stores that the list has dropped, and since when
   Index<std::int64_t> groups_;
   Rules rules_;
   stages::Relay relay_;
--- a/src/front/given.cpp
+++ b/src/front/given.cpp
@@ -12,6 +12,8 @@
 namespace reedchute::front {
 namespace {
 
+constexpr std::size_t kLeastMemory = 16u << 20, kMostMemory = 1u << 30;
+
 const json::Value& need(const json::Value& in, const char* name, json::Value::Kind kind) {
   const json::Value* v = in.find(name);
   if (!v || v->kind != kind) throw Malformed(std::string("the configuration has no proper '") + name + "'");
@@ -40,7 +42,7 @@
   if (a.name != b.name) fields.push_back("name");
   if (!sched::sameAddress(a.listen, b.listen)) fields.push_back("listen");
   if (a.terms.seed != b.terms.seed) fields.push_back("seed");
-  if (a.sockets != b.sockets) fields.push_back("limits");
+  if (a.sockets != b.sockets || a.memory != b.memory) fields.push_back("limits");
   if (a.settings != b.settings) fields.push_back("settings");
   return fields;
 }
@@ -73,6 +75,11 @@
   if (const json::Value* limits = config.find("limits"))
     if (const json::Value* sockets = limits->find("sockets"); sockets && sockets->isNumber())
       g.sockets = std::min(g.sockets, static_cast<std::size_t>(std::max(0.0, sockets->number)));
+  g.memory = kMostMemory;
+  if (const json::Value* limits = config.find("limits"))
+    if (const json::Value* mb = limits->find("memory_mb"); mb && mb->isNumber())
+      g.memory = static_cast<std::size_t>(std::clamp(mb->number * 1048576, 0.0, double{kMostMemory}));
+  if (g.memory < kLeastMemory) throw Malformed("less than 16 MB of memory is allowed");
   if (g.sockets < 64) throw Malformed("fewer than 64 sockets are allowed");
   return g;
 }
--- a/src/front/given.h
+++ b/src/front/given.h
@@ -17,6 +17,7 @@
   sockaddr_in listen{}, discovery{};
   std::string discoveryHost;
   std::size_t sockets = 0;
+  std::size_t memory = 0;  // bytes
   peers::Roster known;
   Params settings;
   Names names;
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -132,6 +132,12 @@
   }
 }
 
+std::size_t Clients::held() const {
+  std::size_t bytes = 0;
+  for (const Session* s : sessions_) bytes += s->in.capacity() + s->out.capacity();
+  return bytes;
+}
+
 // Waits for more of this client; makeRoom() may close it meanwhile.
 sched::Task<bool> Clients::wait(Session& s, std::list<Session*>& among, TimePoint until) {
   s.waits = &among;
@@ -165,7 +171,14 @@
 sched::Task<bool> Clients::readMore(Session& s) {
   bool idle = s.greeted && s.left().empty();
   sched::Socket::Got got = s.more(kMostMessage + 1);
-  if (got == sched::Socket::Got::some) co_return true;
+  if (got == sched::Socket::Got::some) {
+    // Danger: hundreds who each send most of a long message would together take all memory there is.
+    if (s.in.size() > kMostAhead && held() > limits_.bytes) {
+      log::line("client_too_much", "bytes=%zu", held());
+      s.end("53200", "no memory is left for so long a message");
+    }
+    co_return true;
+  }
   if (got == sched::Socket::Got::ended || (idle && away_)) co_return false;
   s.inARow = 0;
   TimePoint now = scheduler_.now();
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -30,6 +30,7 @@
     Span patience;  // that a client is given to read an answer
     Span silence;   // that a client is given to say what it wants, and to finish a message
     Span idle;      // after which an idle connection goes where many are held
+    std::size_t bytes = 0;  // that the buffers of all sessions together may hold
   };
 
   Clients(sched::Scheduler& s, Desk& desk, Limits limits);
@@ -54,6 +55,7 @@
   sched::Task<> letRead(Session& s);
   sched::Task<bool> wait(Session& s, std::list<Session*>& among, TimePoint until);
   bool makeRoom();
+  std::size_t held() const;  // bytes, in the buffers of all sessions
 
   sched::Scheduler& scheduler_;
   Desk& desk_;
--- a/src/peers/list.cpp
+++ b/src/peers/list.cpp
@@ -9,7 +9,6 @@
 namespace reedchute::peers {
 namespace {
 
-constexpr std::size_t kMostBody = 4 * 1024 * 1024;
 constexpr std::int64_t kMostWaitMs = 60'000;  // the service allows no more
 
 const char* readMember(const json::Value& v, Member& m) {
@@ -80,8 +79,10 @@
   return true;
 }
 
-List::List(sched::Scheduler& s, Keeper& keeper, sockaddr_in service, std::string host, Pace pace)
-    : scheduler_(s), keeper_(keeper), service_(service), host_(std::move(host)), pace_(pace), asked_(s) {}
+List::List(sched::Scheduler& s, Keeper& keeper, sockaddr_in service, std::string host, Pace pace,
+           std::size_t mostBody)
+    : scheduler_(s), keeper_(keeper), service_(service), host_(std::move(host)), pace_(pace),
+      mostBody_(mostBody), asked_(s) {}
 
 void List::ask() { asked_.set(); }
 
@@ -151,7 +152,7 @@
   if (socket_ && socket_->open()) {
     // A kept connection that the service has closed meanwhile is noticed before it is used.
     in_.clear();
-    if (socket_->read(in_, kMostBody) != sched::Socket::Got::nothing) socket_->close();
+    if (socket_->read(in_, mostBody_) != sched::Socket::Got::nothing) socket_->close();
   }
   if (!socket_ || !socket_->open()) {
     in_.clear();
@@ -165,11 +166,11 @@
   std::string call = "GET " + path + " HTTP/1.1\r\nHost: " + host_ + "\r\nAccept: application/json\r\n\r\n";
   bool sent = co_await sched::writeAll(*socket_, call, until);
   if (!sent) co_return false;
-  http::Response response(kMostBody);
+  http::Response response(mostBody_);
   for (;;) {
     in_.erase(0, response.feed(in_));
     if (response.whole() || response.bad()) break;
-    sched::Socket::Got got = socket_->read(in_, kMostBody);
+    sched::Socket::Got got = socket_->read(in_, mostBody_);
     if (got == sched::Socket::Got::some) continue;
     if (got == sched::Socket::Got::ended) {
       response.ended();
--- a/src/peers/list.h
+++ b/src/peers/list.h
@@ -47,7 +47,8 @@
     Span pause;     // before a call that failed is made again
     bool onDemand;  // called only when the module asks
   };
-  List(sched::Scheduler& s, Keeper& keeper, sockaddr_in service, std::string host, Pace pace);
+  List(sched::Scheduler& s, Keeper& keeper, sockaddr_in service, std::string host, Pace pace,
+       std::size_t mostBody);
 
   sched::Task<> run();
   // The service is at another address from now on: a call to the old one ends at once, and the whole list is
@@ -65,6 +66,7 @@
   sockaddr_in service_;
   std::string host_;
   Pace pace_;
+  std::size_t mostBody_;
   sched::Event asked_;
   std::optional<sched::Socket> socket_;
   std::string in_;
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -10,6 +10,7 @@
 namespace reedchute::peers {
 namespace {
 
+constexpr std::size_t kReadAtOnce = 64 * 1024;  // before what came is looked at
 constexpr double kSettle = 0.01;      // connect time-outs that a connection is idle before it is a sure one
 constexpr double kMostNumber = 1e12;  // of a report's figures; positions are seconds
 constexpr const char *kUser = "web", *kDatabase = "orders";  // as clients give them
@@ -85,7 +86,7 @@
         garbled = true;
         co_return false;
       }
-      sched::Socket::Got got = socket.read(in, kMostMessage * 2);
+      sched::Socket::Got got = socket.read(in, in.size() + kReadAtOnce);
       if (got == sched::Socket::Got::some) continue;
       if (got == sched::Socket::Got::ended) co_return false;
       // Danger: a length that promises more than ever comes would hold the job for all of its time.
@@ -256,8 +257,10 @@
 
 Job* Stores::give(std::unique_ptr<Job> job) {
   Job* j = job.get();
+  j->place = jobs_.size();
   jobs_.push_back(std::move(job));
   Pool& pool = poolOf(j->store);
+  ++pool.jobs;
   if (!pool.idle.empty()) {
     // Danger: a store may close right behind its answer; a job that is written just then is lost. The one used
     // last is taken of those that have been idle for a moment.
@@ -290,6 +293,11 @@
     finish(j, Ending::moot);
 }
 
+bool Stores::unused(int store) const {
+  const Pool& pool = pools_[static_cast<std::size_t>(store)];
+  return pool.connections == 0 && pool.jobs == 0;
+}
+
 void Stores::release(int store) {
   if (static_cast<std::size_t>(store) >= pools_.size()) return;
   for (Connection* c : poolOf(store).idle) c->socket.close();
@@ -316,7 +324,7 @@
     log::line("stores_crowded", "connections=%zu", connections_.size());
   auto c = std::make_unique<Connection>(*this, store, fd);
   connections_.push_back(c.get());
-  ++pool.coming;
+  ++pool.coming, ++pool.connections;
   scheduler_.spawn(serve(std::move(c)));
 }
 
@@ -345,10 +353,13 @@
 void Stores::finish(Job* job, Ending ending) {
   job->ending = ending;
   job->on = nullptr;
-  auto it = std::find_if(jobs_.begin(), jobs_.end(), [&](const auto& j) { return j.get() == job; });
-  std::unique_ptr<Job> kept = std::move(*it);
-  *it = std::move(jobs_.back());
+  std::unique_ptr<Job> kept = std::move(jobs_[job->place]);
+  if (job != jobs_.back().get() && jobs_.back()) {
+    jobs_[job->place] = std::move(jobs_.back());
+    jobs_[job->place]->place = job->place;
+  }
   jobs_.pop_back();
+  --poolOf(job->store).jobs;
   giver_.ended(*kept);
 }
 
@@ -402,6 +413,7 @@
   std::erase(connections_, &conn);
   conn.socket.close();
   Pool& pool = poolOf(store);
+  --pool.connections;
   if (pool.coming < static_cast<int>(pool.waiting.size())) openOne(store);
 }
 
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -24,6 +24,7 @@
   TimePoint begun, until;
   TimePoint sendBy = kForever;  // not written at all later than this
   Connection* on = nullptr;
+  std::size_t place = 0;  // among all jobs
   bool cancelled = false;
   // what came back
   Ending ending = Ending::moot;
@@ -61,6 +62,10 @@
   // Closes the idle connections of one store.
   void release(int store);
   std::size_t connections() const { return connections_.size(); }
+  // Is there neither a connection nor a job to it?
+  bool unused(int store) const;
+  // Nothing is kept of a store that is unused.
+  void forget(int store) { poolOf(store) = {}; }
 
  private:
   friend class Connection;
@@ -69,7 +74,9 @@
     std::optional<sockaddr_in> address;
     std::vector<Connection*> idle;  // the one used last at the end
     std::deque<Job*> waiting;
-    int coming = 0;  // connections being made
+    int coming = 0;       // connections being made
+    int connections = 0;  // in any state
+    int jobs = 0;         // in any state
   };
 
   Pool& poolOf(int store) { return pools_[static_cast<std::size_t>(store)]; }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -120,7 +120,7 @@
 
 void Rules::entry(const Entry& e, TimePoint now) {
   Stores& S = stores_;
-  while (static_cast<int>(S.group.size()) <= e.store) S.grow(terms_.workloads.size(), firstLimit_, now);
+  while (S.size() <= e.store) S.begin(S.size(), terms_.workloads.size(), firstLimit_, now);
   int s = e.store;
   if (S.group[s] != e.group) {
     if (S.group[s] >= 0) std::erase(groups_[S.group[s]].members, s);
@@ -149,6 +149,12 @@
   askBackoff_ = std::min(askBackoff_ * 2, terms_.askEvery * kAskLast);
 }
 
+// Danger: with stores ever new, each round would walk all that there ever were.
+void Rules::left(int s, TimePoint now) {
+  for (GroupState& g : groups_) std::erase(g.members, s), g.primary = g.primary == s ? -1 : g.primary;
+  stores_.begin(s, terms_.workloads.size(), firstLimit_, now);
+}
+
 // ---- the design: positions, curve, drain, choice ----
 
 // `known`: how old the position may be by the way it came, as a report is renewed only now and then.
@@ -161,11 +167,10 @@
     if (row.level != Level::bounded) continue;
     // Danger: reads crowd the thread that applies the log; where they do, fewer of them let it catch up.
     if (lag < row.bound && lag - known >= row.bound * kLagCut) cutLimit(s, position, now);
-    if (lag >= row.bound) {
+    if (lag >= row.bound)
       stores_.drained[s][w] = 1;
-    } else if (stores_.drained[s][w] && lag < row.bound * kReentry) {
+    else if (stores_.drained[s][w] && lag < row.bound * kReentry)
       stores_.drained[s][w] = 0, stores_.returned[s][w] = now;
-    }
   }
 }
 
@@ -409,11 +414,9 @@
 
 void Rules::probed(int s, bool ok, const Report& report, TimePoint now) {
   stores_.probing[s] = 0;
-  if (!ok) {
-    stores_.probeDue[s] = now + smallestBound_ * kSlowestPace;
-    if (stores_.down[s]) stores_.dead[s] = 1, blockStore(s, now, true);
-    return;
-  }
+  if (!ok) stores_.probeDue[s] = now + smallestBound_ * kSlowestPace;
+  if (!ok && stores_.down[s]) stores_.dead[s] = 1, blockStore(s, now, true);
+  if (!ok) return;
   // Danger: a store that was only cut off is not cold. A dead primary of several would have lost its role.
   bool kept = report.position && report.primary.value_or(false) && *report.position > stores_.blockedAt[s];
   if (kept && groups_[stores_.group[s]].members.size() > 1) stores_.dead[s] = 0;
@@ -724,8 +727,7 @@
 void Rules::arrived(int stmt, const Arrival& a, TimePoint now) {
   if (static_cast<int>(stmts_.size()) <= stmt) stmts_.resize(stmt + 1);
   if (static_cast<int>(groups_.size()) <= a.group) groups_.resize(a.group + 1);
-  Stmt& st = stmts_[stmt];
-  st = Stmt{};
+  Stmt& st = stmts_[stmt] = Stmt{};
   st.workload = a.workload, st.group = a.group, st.tenant = a.tenant, st.session = a.session;
   st.open = true, st.giveUpAt = a.giveUpAt;
   const Workload& w = terms_.workloads[a.workload];
--- a/src/rules.h
+++ b/src/rules.h
@@ -172,17 +172,22 @@
   std::vector<double> coldBudget;
   std::vector<TimePoint> coldFilled;
 
-  // One more store, of which nothing is known; unmeasured counts as drained.
-  void grow(std::size_t workloads, double firstLimit, TimePoint now) {
+  int size() const { return static_cast<int>(group.size()); }
+
+  // Nothing is known of this store, which may be one more; unmeasured counts as drained.
+  void begin(int store, std::size_t workloads, double firstLimit, TimePoint now) {
+    auto put = [s = static_cast<std::size_t>(store)](auto& array, auto value) {
+      if (array.size() <= s) array.resize(s + 1);
+      array[s] = std::move(value);
+    };
     for (auto* never : {&started, &position, &primaryAt, &replicaAt, &reported, &probedAt, &renewal,
                         &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt})
-      never->push_back(kNever);
-    for (auto* flag : {&inList, &probing, &down, &dead}) flag->push_back(0);
-    group.push_back(-1), zone.push_back(-1), listed.push_back(Listed::up), weight.push_back(1);
-    drained.emplace_back(workloads, 1), returned.emplace_back(workloads, kNever),
-        role.push_back(Role::unknown);
-    goodShare.push_back(1), speed.push_back(1), faded.push_back(now), block.push_back({});
-    out.push_back(0), limit.push_back(firstLimit), coldBudget.push_back(0), coldFilled.push_back(now);
+      put(*never, kNever);
+    for (auto* flag : {&inList, &probing, &down, &dead}) put(*flag, char{0});
+    put(group, -1), put(zone, -1), put(listed, Listed::up), put(weight, 1.0);
+    put(drained, std::vector<char>(workloads, 1)), put(returned, std::vector<TimePoint>(workloads, kNever));
+    put(role, Role::unknown), put(goodShare, 1.0), put(speed, 1.0), put(faded, now), put(block, Span{});
+    put(out, 0), put(limit, firstLimit), put(coldBudget, 0.0), put(coldFilled, now);
   }
 };
 
@@ -216,6 +221,9 @@
   void listBegins(bool whole);
   void entry(const Entry& e, TimePoint now);
   void listEnds(bool asked);
+  // A store that is gone has left every place outside: nothing is out to it, no open statement was sent to it, and
+  // its index may be another's from now on.
+  void left(int store, TimePoint now);
   void listFailed(TimePoint now);
   void arrived(int stmt, const Arrival& a, TimePoint now);
   void resolved(int stmt, const Result& r, TimePoint now);
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -1,5 +1,6 @@
 #include "stages/book.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace reedchute::stages {
@@ -15,6 +16,7 @@
   }
   row(stmt) = std::move(st);
   openIds_.insert(row(stmt).id);
+  held_ += costOf(row(stmt).text.size());
   touch();
   return stmt;
 }
@@ -41,12 +43,19 @@
 void Book::roundEnded() {
   touched_ = false;
   for (int stmt : leaving_) {
+    held_ -= costOf(row(stmt).text.size());
     row(stmt) = {};
     free_.push_back(stmt);
   }
   leaving_.clear();
 }
 
+bool Book::names(int store) const {
+  return std::any_of(rows_.begin(), rows_.end(), [&](const Statement& st) {
+    return std::find(st.stores.begin(), st.stores.end(), store) != st.stores.end();
+  });
+}
+
 bool Book::wanted(const peers::Job& job) const {
   return job.stmt < 0 || rows_[static_cast<std::size_t>(job.stmt)].open;
 }
--- a/src/stages/book.h
+++ b/src/stages/book.h
@@ -22,6 +22,11 @@
   void close(int stmt);
   // Rows whose last fact the module has seen in a round can be used again.
   void roundEnded();
+  // Does a row that is in use name this store?
+  bool names(int store) const;
+  // Bytes set aside for the rows in use: a statement's text as it came and as it is sent, and its answer.
+  std::size_t held() const { return held_; }
+  static std::size_t costOf(std::size_t textSize) { return 2 * textSize + kMostAnswer; }
   std::size_t openCount() const { return openIds_.size(); }
   const OpenIds& openIds() const { return openIds_; }
   // Has the module been told anything since the last round?
@@ -32,6 +37,8 @@
   void ended(peers::Job& job) override;
 
  private:
+  static constexpr std::size_t kMostAnswer = 128 * 1024;
+
   void offer(int stmt);
 
   sched::Scheduler& scheduler_;
@@ -40,6 +47,7 @@
   std::vector<Statement> rows_;
   std::vector<int> free_, leaving_;
   OpenIds openIds_;
+  std::size_t held_ = 0;
   bool touched_ = false;
 };
 
--- a/src/stages/send.cpp
+++ b/src/stages/send.cpp
@@ -22,6 +22,7 @@
   std::int64_t left = std::max<std::int64_t>(0, (stopAt - now).us / 1000);
   job->bytes = pg::query(pg::withWait(st.text, st.waitAt, st.waitSize, left));
   ++st.out;
+  st.stores.push_back(store);
   st.jobs.push_back(nullptr);
   st.jobs.back() = stores_.give(std::move(job));
 }
--- a/src/stages/statement.h
+++ b/src/stages/statement.h
@@ -27,6 +27,7 @@
   bool open = false;
   int out = 0;
   std::vector<peers::Job*> jobs;  // by the execution's number; none where it has ended
+  std::vector<int> stores;        // that they were for
 };
 
 }  // namespace reedchute::stages
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -68,8 +68,8 @@
 class Drive {
  public:
   explicit Drive(int stores, int sockets = 256, const char* mode = "automatic", const char* firstList = "",
-                 bool logStands = false)
-      : toy(s), mode_(mode), logStands_(logStands) {
+                 bool logStands = false, int memoryMb = 64, const char* keepalive = "15000000")
+      : toy(s), mode_(mode), memoryMb_(memoryMb), keepalive_(keepalive), logStands_(logStands) {
     for (int k = 0; k < stores; ++k) toy.addStore(k == 0, 7);
     listPort_ = toy.serveList();
     toy.spoilList(firstList);
@@ -92,6 +92,7 @@
     path_ = name;
     std::string settings = kSettings;
     settings.replace(settings.find("automatic"), 9, mode_);
+    settings.replace(settings.find("15000000"), 8, keepalive_);
     if (logStands_) {  // the port can't be read from the log then: one that was free a moment ago
       int probe = sched::listenOn(*sched::parseAddress("127.0.0.1:0", true));
       port = static_cast<std::uint16_t>(sched::portOf(probe));
@@ -123,7 +124,7 @@
     std::string text = "{\"name\":\"" + std::string(name) + "\",\"listen\":\"127.0.0.1:" +
                        std::to_string(logStands_ ? port : 0) + "\",\"discovery\":\"127.0.0.1:" +
                        std::to_string(listPort) + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" +
-                       std::to_string(sockets_) + "},\"known\":" + toy.roster() + ",\"settings\":" + settings_ +
+                       std::to_string(sockets_) + ",\"memory_mb\":" + std::to_string(memoryMb_) + "},\"known\":" + toy.roster() + ",\"settings\":" + settings_ +
                        "}";
     std::ofstream(path_) << text.substr(0, cutAt);
   }
@@ -164,7 +165,8 @@
  private:
   std::uint16_t listPort_ = 0;
   std::string mode_, settings_;
-  int sockets_ = 0;
+  int sockets_ = 0, memoryMb_;
+  const char* keepalive_;
   bool logStands_;
   pid_t child_ = -1;
   std::string path_;
@@ -546,11 +548,67 @@
   Client(d).asks("and another that asks", Client::read("c"));
 }
 
+// The long day in small: what has come and gone leaves nothing behind.
+void passing() {
+  Drive d(2, 128, "automatic", "", false, 32, "300000");
+  int replica = 1;
+  for (int k = 0; k < 150; ++k) {
+    int next = d.toy.addStore(false, 7);
+    d.toy.setState(next, "up");
+    Client(d).ask(Client::read("key" + std::to_string(k)));
+    d.toy.setState(replica, "removed");
+    if (k % 3 == 0) d.toy.kill(replica);
+    replica = next;
+  }
+  d.log.clear();
+  bool left = d.until("all have left", [&] { return d.logged("sessions=0 store_connections=0 stores=2 gone=0"); });
+  std::printf("150 stores and clients came and went; only what is listed is held: %s\n", left ? "yes" : "no");
+  d.toy.setState(1, "up");
+  d.pass(200);
+  Client(d).asks("one of them is listed again", Client::read("a"));
+}
+
+// Sizes are counted by what the front says it holds.
+void memory() {
+  Drive d(2, 256, "automatic", "", false, 32);
+  std::vector<std::unique_ptr<Client>> many;
+  for (int k = 0; k < 150; ++k) {
+    many.push_back(std::make_unique<Client>(d));
+    many.back()->send(std::string("Q\0\2\x49\xf0", 5) + std::string(140'000, 'a'));
+  }
+  Client(d).asks("150 clients have sent most of a long statement; one that asks", Client::read("a"));
+  int refused = 0, closed = 0;
+  for (auto& c : many) {
+    std::string got = c->get();
+    refused += got.find("53200") != std::string::npos, closed += c->ended;
+  }
+  std::printf("some were told that there is no memory: %s; ended: %d\n", refused > 0 ? "yes" : "no", closed);
+  std::size_t most = 0;
+  for (std::size_t at = 0; (at = d.log.find("client_too_much bytes=", at)) != std::string::npos; ++at)
+    most = std::max<std::size_t>(most, static_cast<std::size_t>(std::atoi(d.log.c_str() + at + 22)));
+  std::printf("they held more than a quarter of 32 MB and one message: %s\n",
+              most > (8u << 20) + (256u << 10) ? "yes" : "no");
+  many.clear();
+  for (int k = 0; k < 80; ++k) {
+    many.push_back(std::make_unique<Client>(d));
+    many.back()->send(pg::query(Client::read("slow700-" + std::string(130'000, 'a'), 5000)));
+  }
+  int served = 0, rejected = 0;
+  for (auto& c : many) {
+    std::string got = c->get();
+    served += got.find("row") != std::string::npos, rejected += got.find("53300") != std::string::npos;
+  }
+  std::printf("80 long statements at once: some completed: %s, some rejected: %s, without an answer: %d\n",
+              served > 0 ? "yes" : "no", rejected > 0 ? "yes" : "no", 80 - served - rejected);
+  Client(d).asks("afterwards", Client::read("b"));
+}
+
 const Case kCases[] = {
     {"completed", completed}, {"outcomes", outcomes}, {"writes", writes},       {"connections", connections},
     {"drains", drains},       {"asked", asked},       {"logStands", logStands}, {"badInput", badInput},
     {"crowd", crowd},         {"leaves", leaves},
-    {"spoilt", spoilt},       {"reload", reload},     {"silence", silence}};
+    {"spoilt", spoilt},       {"reload", reload},     {"silence", silence},
+    {"passing", passing},     {"memory", memory}};
 
 }  // namespace
 
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -471,6 +471,30 @@
   b.round();
 }
 
+// Danger: what was known of a store that is gone would be taken for the one that has its place now.
+void places() {
+  Bench b(Bench::terms({kBounded, kWrite}));
+  b.list(2);
+  b.report(1, 10);
+  b.probes = true;
+  b.note("the replica is blocked and its primary gone; both leave, and others have their places");
+  b.answer((b.arrive(0), b.round(), b.lastStmt), Ending::connectFailed);
+  b.round();
+  b.answer(0, Ending::ok, Role::primary, 1);
+  b.listOne(0, true, Listed::gone), b.listOne(1, false, Listed::gone);
+  b.round();
+  b.rules.left(0, b.clock), b.rules.left(1, b.clock);
+  b.listOne(0, false, Listed::up), b.listOne(1, true, Listed::up);
+  b.round();
+  b.report(0, 10);
+  b.arrive(0), b.arrive(1);
+  b.round();
+  b.note("a place that nobody has is not asked for anything");
+  b.listOne(0, false, Listed::gone);
+  b.rules.left(0, b.clock);
+  b.pass(3000);
+}
+
 // Danger: a read that leaves late, as its connection came up late, would find data older than its bound.
 void sendBy() {
   Bench b(Bench::terms({kBounded, kAny, kWrite}));
@@ -519,7 +543,7 @@
     {"deadStore", deadStore}, {"coldDebt", coldDebt}, {"fullTable", fullTable},
     {"readAsLook", readAsLook}, {"probesEarned", probesEarned}, {"repeats", repeats},
     {"standing", standing}, {"manyFronts", manyFronts}, {"tenantShares", tenantShares},
-    {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"sendBy", sendBy}, {"cutOff", cutOff},
+    {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"places", places}, {"sendBy", sendBy}, {"cutOff", cutOff},
 };
 
 }  // namespace
