--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -175,7 +175,7 @@
 // taken), silent, half (a row cut off), garbage, long (a message without end), twice (a row too many), more
 // (a row after the answer), copy (the whole answer once more), noise (no message at all), longer (a row that
 // promises more than comes), liar (never ran, it says, and goes on with noise), wrong (the statement is at fault),
-// unread (a report that can't be read), or slow and a number of milliseconds.
+// unread (a report that can't be read), big and a number of bytes, or slow and a number of milliseconds.
 sched::Task<bool> Toy::doStatement(int number, sched::Socket& s, std::string text) {
   Store& store = *stores_[static_cast<std::size_t>(number)];
   pg::Fields f;
@@ -239,6 +239,10 @@
     out = row("value of unread") + pg::message('C', std::string("SELECT 1\0", 9)) +
           pg::parameter("usage", "x0=nan,x1=,=,inflight=-inf,x0=9e99") + pg::parameter("commit_clock", "1e300") +
           pg::ready();
+  } else if (word.rfind("big", 0) == 0) {
+    std::size_t size = 0;
+    std::from_chars(word.data() + 3, word.data() + word.size(), size);
+    out = row(std::string(size, 'b')) + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
   } else if (word == "twice") {
     out = row("one") + row("two") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
   } else {
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -15,9 +15,9 @@
 // stores'.
 constexpr std::size_t kReserve = 24;
 constexpr std::size_t kStorePart = 3;
-// Memory, as parts of what is allowed: buffers of clients, statements in hand with their answers, and the list as
-// it comes, which grows tenfold when it is read.
-constexpr std::size_t kClientPart = 4, kStatementPart = 2, kListPart = 64;
+// Memory, as parts of what is allowed: buffers of clients, answers on their way from stores and one row of them,
+// statements in hand with what they usually need, and the list as it comes, which grows tenfold when it is read.
+constexpr std::size_t kClientPart = 4, kAnswerPart = 4, kRowPart = 32, kStatementPart = 2, kListPart = 64;
 // PROTOCOL: after SIGTERM clients keep coming for 0.2 to 0.4 s, and what arrives up to 0.7 s after it counts.
 constexpr Span kStillComing{550'000};
 // In connect time-outs: a client owes a whole message by then; an idle one may be closed.
@@ -26,7 +26,8 @@
 constexpr Span kTallyEvery{5'000'000};
 
 peers::Stores::Limits storeLimits(const Given& g) {
-  return {g.terms.connectTimeout, g.keepalive, (g.sockets - kReserve) / kStorePart};
+  return {g.terms.connectTimeout, g.keepalive, (g.sockets - kReserve) / kStorePart, g.memory / kRowPart,
+          g.memory / kAnswerPart};
 }
 
 peers::Clients::Limits clientLimits(const Given& g) {
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -22,7 +22,10 @@
   Session(sched::Scheduler& s, int fd) : socket(s, fd) {}
 
   void answer(std::string bytes) override {
-    out += bytes;
+    if (out.empty())
+      out = std::move(bytes);
+    else
+      out += bytes;
     stmt = -1;
     socket.in.set();
   }
@@ -41,8 +44,11 @@
     return socket.read(in, most);
   }
   sched::Task<bool> flush(TimePoint until) {
-    std::string bytes = std::exchange(out, {});
-    bool done = co_await sched::writeAll(socket, bytes, until);
+    bool done = co_await sched::writeAll(socket, out, until);
+    if (out.capacity() > kMostAhead)
+      out = {};
+    else
+      out.clear();
     co_return done;
   }
 
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -11,10 +11,10 @@
 namespace {
 
 constexpr std::size_t kReadAtOnce = 64 * 1024;  // before what came is looked at
+constexpr std::size_t kTail = 256;              // what usually follows a row
 constexpr double kSettle = 0.01;      // connect time-outs that a connection is idle before it is a sure one
 constexpr double kMostNumber = 1e12;  // of a report's figures; positions are seconds
 constexpr const char *kUser = "web", *kDatabase = "orders";  // as clients give them
-constexpr std::size_t kMostMessage = 256 * 1024;  // a value of 64 KiB, even written as hex digits, fits twice
 
 // SQLSTATE classes by which a store says that the statement is at fault, wherever it is sent.
 bool blamesStatement(std::string_view code) {
@@ -55,8 +55,9 @@
   // Takes one message off the buffer; `broken` where the stream makes no sense.
   Seen take(pg::Message& m) {
     used = 0;
-    if (!pg::storeMessageMayFollow(in)) return Seen::broken;
-    switch (pg::frame(in, kMostMessage, m)) {
+    std::string_view rest = std::string_view(in).substr(kept);
+    if (!pg::storeMessageMayFollow(rest, stores.limits_.row)) return Seen::broken;
+    switch (pg::frame(rest, stores.limits_.row, m)) {
       case pg::Framed::whole:
         used = m.whole.size();
         return pg::wellFormed(m) ? Seen::good : Seen::broken;
@@ -66,11 +67,12 @@
         return Seen::broken;
     }
   }
-  void drop() { in.erase(0, used), used = 0; }
+  void drop() { in.erase(kept, used), used = 0; }
+  void keep() { kept += used, used = 0; }
 
   // Between jobs: is it still open, and has nothing come that a job's answer could be mistaken for?
   bool quiet() {
-    if (socket.read(in, kMostMessage) == sched::Socket::Got::ended) return false;
+    if (socket.read(in, kReadAtOnce) == sched::Socket::Got::ended) return false;
     pg::Message m;
     while (take(m) == Seen::good && (m.type == 'S' || m.type == 'N')) drop();
     return in.empty();
@@ -86,12 +88,21 @@
         garbled = true;
         co_return false;
       }
-      sched::Socket::Got got = socket.read(in, in.size() + kReadAtOnce);
+      // A row says early how long it is: its place is taken once, and not again and again as it grows.
+      std::size_t whole = kept + pg::statedSize(std::string_view(in).substr(kept));
+      if (whole > in.capacity()) in.reserve(whole + kTail);
+      // Danger: rows that all stores send at once would together take all memory there is.
+      if (in.size() > kReadAtOnce && stores.held() > stores.limits_.bytes) {
+        log::line("store_too_much", "store=%d bytes=%zu", store, stores.held());
+        garbled = true;
+        co_return false;
+      }
+      sched::Socket::Got got = socket.read(in, std::max(in.size() + kReadAtOnce, whole));
       if (got == sched::Socket::Got::some) continue;
       if (got == sched::Socket::Got::ended) co_return false;
       // Danger: a length that promises more than ever comes would hold the job for all of its time.
       TimePoint stalls = scheduler().now() + stores.limits_.connectTimeout;
-      bool waits = (begun || !in.empty()) && stalls < until;
+      bool waits = (begun || in.size() > kept) && stalls < until;
       bool set = co_await socket.in.wait(waits ? stalls : until);
       if (!set) {
         (waits ? garbled : late) = true;
@@ -107,12 +118,13 @@
   int store;
   sched::Socket socket;
   std::string in;
-  std::size_t used = 0;
+  std::size_t used = 0, kept = 0;  // of `in`: the message in hand; before it, what of the answer goes on as it came
   Job* job = nullptr;
   TimePoint idleSince{};
   bool garbled = false, late = false;
 
   void learn(std::string_view payload, Job& to);
+  void handOver(Job& to);
   sched::Task<bool> comeUp(TimePoint until);
   sched::Task<bool> perform();
 };
@@ -128,6 +140,14 @@
       to.position = TimePoint{static_cast<std::int64_t>(*ms * 1000)};
 }
 
+// The answer goes on in the buffer in which it came: values may be long, and each copy of them costs.
+void Connection::handOver(Job& to) {
+  std::string behind = in.substr(kept);
+  in.resize(kept);
+  to.row = std::exchange(in, std::move(behind));
+  kept = 0;
+}
+
 sched::Task<bool> Connection::comeUp(TimePoint until) {
   bool up = co_await sched::connected(socket, until);
   if (!up) co_return false;
@@ -175,19 +195,19 @@
       case 'T':
         sound = !described && !failed;
         described = true;
-        j.row.append(m.whole);
+        keep();
         break;
       case 'D':
         sound = described && !complete && !failed && rows == 0;
         ++rows;
-        j.row.append(m.whole);
         if (j.stmt < 0)
           if (auto value = pg::firstColumn(m.payload)) j.report = readReport(*value, newest());
+        keep();
         break;
       case 'C':
         sound = rows == 1 && !complete && !failed;
         complete = true;
-        j.row.append(m.whole);
+        keep();
         break;
       case 'E': {
         std::string_view code = pg::errorField(m.payload, 'C');
@@ -216,7 +236,8 @@
           garbled = true;
           break;
         }
-        if (complete) j.ending = Ending::ok;
+        if (complete) j.ending = Ending::ok, handOver(j);
+        in.erase(0, kept), kept = 0;  // an error may have come in a row's place
         co_return true;
       default:
         sound = false;
@@ -233,6 +254,7 @@
     co_return false;
   }
   if (failed) co_return false;  // its word stands, though the connection ended before it was ready again
+  if (complete && !j.cancelled) handOver(j);
   j.ending = j.cancelled ? Ending::cancelled
              : complete  ? Ending::ok
              : late      ? Ending::timeout
@@ -314,6 +336,12 @@
   return true;
 }
 
+std::size_t Stores::held() const {
+  std::size_t bytes = 0;
+  for (const Connection* c : connections_) bytes += c->in.capacity();
+  return bytes;
+}
+
 void Stores::openOne(int store) {
   int fd = -1;
   Pool& pool = poolOf(store);
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -47,6 +47,8 @@
   struct Limits {
     Span connectTimeout, keepalive;
     std::size_t connections = 0;  // of all stores together
+    std::size_t row = 0;          // bytes that one row may have
+    std::size_t bytes = 0;        // that answers on their way may have, all together
   };
 
   Stores(sched::Scheduler& s, Giver& giver, Limits limits);
@@ -82,6 +84,7 @@
   Pool& poolOf(int store) { return pools_[static_cast<std::size_t>(store)]; }
   void openOne(int store);
   bool closeLongestIdle();
+  std::size_t held() const;  // bytes, in the buffers of all connections
   bool due(const Job& job) const;
   Job* nextFor(int store);
   void finish(Job* job, Ending ending);
--- a/src/pg/messages.cpp
+++ b/src/pg/messages.cpp
@@ -56,13 +56,11 @@
 
 namespace {
 
-constexpr std::size_t kMostValue = 64 * 1024;
-
 // What a store's message may state as its length, by type; 0: no such message is known.
-std::size_t mostOf(char type) {
+std::size_t mostOf(char type, std::size_t mostRow) {
   switch (type) {
     case 'D':
-      return 2 * kMostValue + 64;  // in hex digits too
+      return mostRow;
     case 'T':
     case 'E':
     case 'N':
@@ -82,9 +80,11 @@
 
 }  // namespace
 
-bool storeMessageMayFollow(std::string_view bytes) {
+std::size_t statedSize(std::string_view bytes) { return bytes.size() < 5 ? 0 : 1 + read32(bytes.substr(1)); }
+
+bool storeMessageMayFollow(std::string_view bytes, std::size_t mostRow) {
   if (bytes.empty()) return true;
-  std::size_t most = mostOf(bytes[0]);
+  std::size_t most = mostOf(bytes[0], mostRow);
   if (most == 0) return false;
   if (bytes.size() < 5) return true;
   std::uint32_t length = read32(bytes.substr(1));
--- a/src/pg/messages.h
+++ b/src/pg/messages.h
@@ -30,8 +30,10 @@
 Framed frameStartup(std::string_view bytes, std::size_t most, std::int32_t& code, std::size_t& size);
 
 // Can the store's message that begins here still become one? Told by its type and stated length as soon as
-// those are there, and of a row by the length of its column.
-bool storeMessageMayFollow(std::string_view bytes);
+// those are there, and of a row by the length of its column. A row may have `mostRow` bytes.
+bool storeMessageMayFollow(std::string_view bytes, std::size_t mostRow);
+// The bytes that it has in all, as far as it has told; 0 before that.
+std::size_t statedSize(std::string_view bytes);
 
 // Is the payload of a store's message as the protocol has it, to its last byte?
 bool wellFormed(const Message& m);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -48,6 +48,7 @@
 constexpr double kLearn = 0.1;        // weight of one outcome in a running share
 constexpr double kFirstUsual = 0.25;  // of the SLO time, taken as usual until answers tell
 constexpr double kWell = 0.5;         // good share from which a store takes its turn as host of long reads
+constexpr double kCrowded = 0.06;  // share of refused connections from which stores have no room for them
 constexpr double kForget = 8;         // SLO times after which a bad share is mostly forgotten
 constexpr double kBlockCap = 8;       // connect time-outs: the longest block
 // In-flight limit.
@@ -69,6 +70,7 @@
 constexpr double kWorthWaiting = 0.5;  // late share from which a late statement still waits for room
 // Time-outs.
 constexpr double kSilent = 8;   // answers that a store should have given since its last, to count as silent
+constexpr double kSilentShare = 0.3;  // of the smallest SLO time that it has given none
 constexpr double kOverdue = 3;  // usual times, and
 constexpr double kOverdueShare = 0.5;  // of the SLO time: an execution older than both is overdue
 constexpr double kOverdueHurts = 0.3;  // of a store's good share that goes with an overdue execution
@@ -463,6 +465,7 @@
   bool wrong = r.ending == Ending::error || r.ending == Ending::spoilt || r.ending == Ending::reset;
   if (well || wrong || r.ending == Ending::full) S.heard[s] = now;
   if (well) healed(s, now);
+  crowd_ += kLearn * 0.5 * ((r.ending == Ending::connectFailed) - crowd_);
   if (r.ending == Ending::ok) {
     S.goodShare[s] += kLearn * (1 - S.goodShare[s]);
     S.speed[s] += kLearn * 0.5 * (r.took / usual - S.speed[s]);
@@ -479,8 +482,9 @@
     if (S.limit[s] < 1 && S.cutAt[s] == now) S.limit[s] *= kCut * kCut;
     if (S.out[s] == 0) blockStore(s, now, false);
   } else if (r.ending == Ending::connectFailed) {
-    crowdedAt_ = now;
-    if (sent >= S.blockedAt[s]) blockStore(s, now, true);  // what was sent before the block tells nothing new
+    if (crowd_ > kCrowded || firstLimit_ < 1) crowdedAt_ = now;
+    // What was sent before the block tells nothing new, nor one connection of a store that answers on others.
+    if (sent >= S.blockedAt[s] && sent >= S.heard[s]) blockStore(s, now, true);
   }
 }
 
@@ -633,6 +637,9 @@
       if (e.out)
         missing[e.store] += (now - std::max(stores_.heard[e.store], e.sent)) /
                             typical_[stmts_[stmt].workload];
+  // Danger: where answers take little of the SLO time, one lost connection looks like a store that is silent.
+  for (std::size_t s = 0; s < missing.size(); ++s)
+    if (now - stores_.heard[s] < smallestSlo_ * kSilentShare) missing[s] = 0;
   return missing;
 }
 
@@ -644,11 +651,8 @@
     Stmt& st = stmts_[stmt];
     if (!st.open) continue;
     // Danger: the client leaves at its time, and an answer after that breaks the rule.
-    if (now + terms_.tick * 2 >= st.giveUpAt) {
-      giveUp(stmt, out);
-      continue;
-    }
-    if (!isOut(st)) continue;
+    if (now + terms_.tick * 2 >= st.giveUpAt) giveUp(stmt, out);
+    if (!st.open || !isOut(st)) continue;
     const Workload& w = terms_.workloads[st.workload];
     GroupState& g = groups_[st.group];
     for (std::size_t k = 0; k < st.executions.size(); ++k) {
@@ -814,10 +818,7 @@
   used_.clear();
   watchExecutions(now, out);
   probeRound(now, out);  // before reads are placed: they may await the answer
-  for (std::size_t g = 0; g < groups_.size(); ++g) {
-    dispatch(static_cast<int>(g), now, out);
-    shed(static_cast<int>(g), now, out);
-  }
+  for (int g = 0; g < static_cast<int>(groups_.size()); ++g) dispatch(g, now, out), shed(g, now, out);
   std::erase_if(open_, [&](int stmt) { return !stmts_[stmt].open; });
   Span pace = terms_.tick * (open_.empty() ? 8 : 2);
   if (wakeAt_ <= now) wakeAt_ = now + pace, out.wake(pace);
--- a/src/rules.h
+++ b/src/rules.h
@@ -299,6 +299,7 @@
   Span refresh_, reportAge_;  // of reports: their period, and their age when they can first be seen
   Span smallestBound_, smallestSlo_;
   Span memory_;  // how far back rates look
+  double crowd_ = 0;  // the share of late executions that got no connection
   TimePoint crowdedAt_ = kNever;  // last seen that a store has no room for connections
   std::vector<int> used_;         // stores that answered in this round
   TimePoint askAt_ = kNever;
--- a/src/sched/socket.cpp
+++ b/src/sched/socket.cpp
@@ -15,7 +15,7 @@
 namespace reedchute::sched {
 namespace {
 
-constexpr std::size_t kReadStep = 16 * 1024;
+constexpr std::size_t kReadStep = 16 * 1024, kLongStep = 128 * 1024;
 constexpr int kBacklog = 4096;
 
 void noDelay(int fd) {
@@ -78,7 +78,8 @@
 Socket::Got Socket::read(std::string& into, std::size_t most) {
   bool some = false;
   while (open() && into.size() < most) {
-    std::size_t had = into.size(), step = std::min(kReadStep, most - had);
+    // Where much has come already, more is likely to be there.
+    std::size_t had = into.size(), step = std::min(had < kReadStep ? kReadStep : kLongStep, most - had);
     into.resize(had + step);
     ssize_t n = recv(fd(), into.data() + had, step, 0);
     int why = errno;
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -601,6 +601,7 @@
   std::printf("80 long statements at once: some completed: %s, some rejected: %s, without an answer: %d\n",
               served > 0 ? "yes" : "no", rejected > 0 ? "yes" : "no", 80 - served - rejected);
   Client(d).asks("afterwards", Client::read("b"));
+  Client(d).asks("a row of 300 KB", Client::read("big300000"));
 }
 
 const Case kCases[] = {
