--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -416,8 +416,10 @@
 
 void Rules::probed(int s, bool ok, const Report& report, TimePoint now) {
   stores_.probing[s] = 0;
-  if (!ok) stores_.probeDue[s] = now + smallestBound_ * kSlowestPace;
-  if (!ok && stores_.down[s]) stores_.dead[s] = 1, blockStore(s, now, true);
+  // Danger: one probe whose connection broke tells nothing; a replica unseen for long gets no bounded reads.
+  int missed = stores_.missed[s] = ok ? 0 : stores_.missed[s] + 1;
+  if (!ok) stores_.probeDue[s] = now + smallestBound_ * (missed > 1 ? kSlowestPace : kFirstPace);
+  if (!ok && stores_.down[s]) stores_.dead[s] |= missed > 1, blockStore(s, now, true);
   if (!ok) return;
   // Danger: a store that was only cut off is not cold. A dead primary of several would have lost its role.
   bool kept = report.position && report.primary.value_or(false) && *report.position > stores_.blockedAt[s];
@@ -484,7 +486,8 @@
   } else if (r.ending == Ending::connectFailed) {
     if (crowd_ > kCrowded || firstLimit_ < 1) crowdedAt_ = now;
     // What was sent before the block tells nothing new, nor one connection of a store that answers on others.
-    if (sent >= S.blockedAt[s] && sent >= S.heard[s]) blockStore(s, now, true);
+    bool first = std::exchange(S.refusedAt[s], now) <= S.heard[s] && now - S.heard[s] < smallestSlo_;
+    if (sent >= S.blockedAt[s] && sent >= S.heard[s] && (!first || firstLimit_ < 1)) blockStore(s, now, true);
   }
 }
 
@@ -565,8 +568,7 @@
       if (s >= 0 && !mayRunAgain(st, s, now)) s = -1;
       if (s < 0 && level == Level::bounded) stuck[st.workload] = 1;
     }
-    if (s >= 0) send(stmt, s, now, out);
-    if (s < 0) left.push_back(stmt);
+    s >= 0 ? send(stmt, s, now, out) : left.push_back(stmt);
   }
   waiting = std::move(left);
 }
@@ -634,9 +636,8 @@
   std::vector<double> missing(stores_.group.size(), 0);
   for (int stmt : open_)
     for (const Execution& e : stmts_[stmt].executions)
-      if (e.out)
-        missing[e.store] += (now - std::max(stores_.heard[e.store], e.sent)) /
-                            typical_[stmts_[stmt].workload];
+      if (Span usual = typical_[stmts_[stmt].workload]; e.out)
+        missing[e.store] += (now - std::max(stores_.heard[e.store], e.sent)) / usual;
   // Danger: where answers take little of the SLO time, one lost connection looks like a store that is silent.
   for (std::size_t s = 0; s < missing.size(); ++s)
     if (now - stores_.heard[s] < smallestSlo_ * kSilentShare) missing[s] = 0;
@@ -688,8 +689,8 @@
 
 double Rules::warmth(int s, TimePoint now) const {
   if (stores_.started[s] == kNever || now - stores_.started[s] >= terms_.coldRamp) return 1;
-  double age = std::max(0.0, (now - stores_.started[s]) / terms_.coldRamp);
-  return terms_.coldFrom + (1 - terms_.coldFrom) * age;
+  Span age = std::max(Span{}, now - stores_.started[s]);
+  return terms_.coldFrom + (1 - terms_.coldFrom) * (age / terms_.coldRamp);
 }
 
 // Danger: hundreds of fronts, each with a budget of less than one statement, would all send their first one
@@ -765,12 +766,11 @@
   Stmt& st = stmts_[stmt];
   Execution& e = st.executions[r.execution];
   const Workload& w = terms_.workloads[st.workload];
-  if (e.out) --stores_.out[e.store], used_.push_back(e.store);
-  e.out = false;
+  if (std::exchange(e.out, false)) --stores_.out[e.store], used_.push_back(e.store);
   e.mayHaveRun = !(r.ending == Ending::full || r.ending == Ending::connectFailed ||
                    r.ending == Ending::moot || r.ending == Ending::miss);
-  learnRole(e.store, r.ending == Ending::miss && w.level == Level::write ? Role::replica : r.role, now,
-            false);
+  bool noPrimary = r.ending == Ending::miss && w.level == Level::write;
+  learnRole(e.store, noPrimary ? Role::replica : r.role, now, false);
   if (r.position && r.role == Role::replica) {
     learnPosition(e.store, *r.position, Span{}, now);
     lookLater(e.store, now - *r.position, Span{}, now);
--- a/src/rules.h
+++ b/src/rules.h
@@ -163,7 +163,9 @@
   std::vector<double> goodShare, speed;
   std::vector<TimePoint> heard, faded, blockedUntil, blockedAt;
   std::vector<Span> block;
-  std::vector<char> down, dead;  // refused a connection; and a probe found it away
+  std::vector<char> down, dead;  // refused a connection; and probes found it away
+  std::vector<TimePoint> refusedAt;
+  std::vector<int> missed;  // probes in vain, one after the other
   // load
   std::vector<int> out;
   std::vector<TimePoint> freeAt;  // where the limit is below one: when its pace has a place again
@@ -181,13 +183,13 @@
       array[s] = std::move(value);
     };
     for (auto* never : {&started, &position, &primaryAt, &replicaAt, &reported, &probedAt, &renewal,
-                        &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt})
+                        &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt, &refusedAt})
       put(*never, kNever);
     for (auto* flag : {&inList, &probing, &down, &dead}) put(*flag, char{0});
     put(group, -1), put(zone, -1), put(listed, Listed::up), put(weight, 1.0);
     put(drained, std::vector<char>(workloads, 1)), put(returned, std::vector<TimePoint>(workloads, kNever));
     put(role, Role::unknown), put(goodShare, 1.0), put(speed, 1.0), put(faded, now), put(block, Span{});
-    put(out, 0), put(limit, firstLimit), put(coldBudget, 0.0), put(coldFilled, now);
+    put(out, 0), put(missed, 0), put(limit, firstLimit), put(coldBudget, 0.0), put(coldFilled, now);
   }
 };
 
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -416,6 +416,29 @@
   b.round();
 }
 
+// Danger: where connections break now and then, one probe or one connection in vain would leave a replica without
+// bounded reads for many bounds.
+void oneInVain() {
+  Bench b(Bench::terms({kBounded}));
+  b.list(2);
+  b.report(1, 10);
+  b.probes = true;
+  b.answer((b.arrive(0), b.round(), b.lastStmt), Ending::ok, Role::replica);
+  b.note("a connection to the replica breaks before it is up; it was heard just now and is tried again");
+  b.clock = b.clock + ms(50);
+  b.answer((b.arrive(0), b.round(), b.lastStmt), Ending::connectFailed);
+  b.round();
+  b.answer(1, Ending::ok, Role::replica, 1);
+  b.note("a probe in vain, and the next look comes soon");
+  b.pass(250);
+  b.rules.probed(1, false, {}, b.clock);
+  b.arrive(0);
+  b.pass(100);
+  b.note("the second in a row, and the next one comes late");
+  b.rules.probed(1, false, {}, b.clock);
+  b.pass(1000);
+}
+
 void readAsLook() {
   Terms t = Bench::terms({kBounded});
   t.storesCheck = true, t.secondCopies = false, t.fronts = 20;
@@ -573,7 +596,7 @@
     {"deadStore", deadStore}, {"coldDebt", coldDebt}, {"fullTable", fullTable},
     {"readAsLook", readAsLook}, {"probesEarned", probesEarned}, {"repeats", repeats},
     {"standing", standing}, {"manyFronts", manyFronts}, {"tenantShares", tenantShares},
-    {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"places", places}, {"oneConnection", oneConnection}, {"sendBy", sendBy}, {"cutOff", cutOff},
+    {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"places", places}, {"oneInVain", oneInVain}, {"oneConnection", oneConnection}, {"sendBy", sendBy}, {"cutOff", cutOff},
 };
 
 }  // namespace
