--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -432,11 +432,14 @@
   b.note("a probe in vain, and the next look comes soon");
   b.pass(250);
   b.rules.probed(1, false, {}, b.clock);
+  b.pass(70);
   b.arrive(0);
-  b.pass(100);
+  b.round();
   b.note("the second in a row, and the next one comes late");
   b.rules.probed(1, false, {}, b.clock);
-  b.pass(1000);
+  b.pass(70);
+  b.arrive(0);
+  b.round();
 }
 
 void readAsLook() {
