--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -417,9 +417,9 @@
 void Rules::probed(int s, bool ok, const Report& report, TimePoint now) {
   stores_.probing[s] = 0;
   // Danger: one probe whose connection broke tells nothing; a replica unseen for long gets no bounded reads.
-  int missed = stores_.missed[s] = ok ? 0 : stores_.missed[s] + 1;
-  if (!ok) stores_.probeDue[s] = now + smallestBound_ * (missed > 1 ? kSlowestPace : kFirstPace);
-  if (!ok && stores_.down[s]) stores_.dead[s] |= missed > 1, blockStore(s, now, true);
+  bool vain = (stores_.missed[s] = ok ? 0 : stores_.missed[s] + 1) > 1 || firstLimit_ < 1;
+  if (!ok) stores_.probeDue[s] = now + smallestBound_ * (vain ? kSlowestPace : kFirstPace);
+  if (!ok && stores_.down[s]) stores_.dead[s] |= vain, blockStore(s, now, true);
   if (!ok) return;
   // Danger: a store that was only cut off is not cold. A dead primary of several would have lost its role.
   bool kept = report.position && report.primary.value_or(false) && *report.position > stores_.blockedAt[s];
@@ -444,8 +444,7 @@
 void Rules::blockStore(int s, TimePoint now, bool down) {
   Span first = terms_.connectTimeout;
   stores_.block[s] = stores_.block[s] > Span{} ? std::min(stores_.block[s] * 2, first * kBlockCap) : first;
-  stores_.blockedUntil[s] = now + stores_.block[s], stores_.blockedAt[s] = now;
-  stores_.down[s] |= down;
+  stores_.blockedUntil[s] = now + stores_.block[s], stores_.blockedAt[s] = now, stores_.down[s] |= down;
 }
 
 void Rules::healed(int s, TimePoint now) {
@@ -463,8 +462,9 @@
   Stores& S = stores_;
   Span slo = terms_.workloads[workload].slo, &usual = typical_[workload];
   bool well = r.ending == Ending::ok || r.ending == Ending::miss || r.ending == Ending::invalid;
-  // Danger: a spoilt answer or one connection's end, taken for a death, would make store after store cold.
-  bool wrong = r.ending == Ending::error || r.ending == Ending::spoilt || r.ending == Ending::reset;
+  // Danger: one answer spoilt or cut off is no death; but of many fronts each sees no more of one than that.
+  bool ended = r.ending == Ending::reset, many = firstLimit_ < 1;
+  bool wrong = r.ending == Ending::error || r.ending == Ending::spoilt || (ended && !many);
   if (well || wrong || r.ending == Ending::full) S.heard[s] = now;
   if (well) healed(s, now);
   crowd_ += kLearn * 0.5 * ((r.ending == Ending::connectFailed) - crowd_);
@@ -483,11 +483,12 @@
     // Danger: a light front hears of a full queue once in seconds; one step would leave it standing.
     if (S.limit[s] < 1 && S.cutAt[s] == now) S.limit[s] *= kCut * kCut;
     if (S.out[s] == 0) blockStore(s, now, false);
-  } else if (r.ending == Ending::connectFailed) {
-    if (crowd_ > kCrowded || firstLimit_ < 1) crowdedAt_ = now;
+  } else if (r.ending == Ending::connectFailed || ended) {
+    if (!ended && (crowd_ > kCrowded || many)) crowdedAt_ = now;
+    S.dead[s] |= ended;
     // What was sent before the block tells nothing new, nor one connection of a store that answers on others.
     bool first = std::exchange(S.refusedAt[s], now) <= S.heard[s] && now - S.heard[s] < smallestSlo_;
-    if (sent >= S.blockedAt[s] && sent >= S.heard[s] && (!first || firstLimit_ < 1)) blockStore(s, now, true);
+    if (sent >= S.blockedAt[s] && sent >= S.heard[s] && (!first || many)) blockStore(s, now, true);
   }
 }
 
@@ -539,8 +540,7 @@
     double fill = terms_.tenants[k].quota * part;
     tenants_[k].tokens = std::min(tenants_[k].tokens + fill * passed, std::max(1.0, fill * tau));
   }
-  st.overShare = tenants_[st.tenant].tokens < 1;
-  if (!st.overShare) tenants_[st.tenant].tokens -= 1;
+  st.overShare = tenants_[st.tenant].tokens < 1, tenants_[st.tenant].tokens -= !st.overShare;
 }
 
 bool Rules::late(const Stmt& st, TimePoint now) const {
@@ -689,8 +689,8 @@
 
 double Rules::warmth(int s, TimePoint now) const {
   if (stores_.started[s] == kNever || now - stores_.started[s] >= terms_.coldRamp) return 1;
-  Span age = std::max(Span{}, now - stores_.started[s]);
-  return terms_.coldFrom + (1 - terms_.coldFrom) * (age / terms_.coldRamp);
+  double age = std::max(0.0, (now - stores_.started[s]) / terms_.coldRamp);
+  return terms_.coldFrom + (1 - terms_.coldFrom) * age;
 }
 
 // Danger: hundreds of fronts, each with a budget of less than one statement, would all send their first one
