--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -15,13 +15,15 @@
 // stores'.
 constexpr std::size_t kReserve = 24;
 constexpr std::size_t kStorePart = 3;
+// PROTOCOL: clients hold a third of the descriptors at most for what they ask; half of that may stand idle.
+constexpr double kIdlePart = 1.0 / 6;
 // Memory, as parts of what is allowed: buffers of clients, answers on their way from stores and one row of them,
 // statements in hand with what they usually need, and the list as it comes, which grows tenfold when it is read.
 constexpr std::size_t kClientPart = 4, kAnswerPart = 4, kRowPart = 32, kStatementPart = 2, kListPart = 64;
 // PROTOCOL: after SIGTERM clients keep coming for 0.2 to 0.4 s, and what arrives up to 0.7 s after it counts.
 constexpr Span kStillComing{550'000};
-// In connect time-outs: a client owes a whole message by then; an idle one may be closed.
-constexpr double kSilence = 6, kIdle = 8;
+// In connect time-outs: whoever has come is left alone for so long; owes a whole message; may be closed when idle.
+constexpr double kGrace = 0.1, kSilence = 6, kIdle = 8;
 constexpr double kRemembered = 2;  // keepalives that a store which is gone is remembered for
 constexpr Span kTallyEvery{5'000'000};
 
@@ -33,7 +35,8 @@
 peers::Clients::Limits clientLimits(const Given& g) {
   std::size_t rest = g.sockets - kReserve;
   Span unit = g.terms.connectTimeout;
-  return {rest - rest / kStorePart, unit, g.keepalive, unit * kSilence, unit * kIdle, g.memory / kClientPart};
+  return {rest - rest / kStorePart, unit, g.keepalive, unit * kGrace, unit * kSilence, unit * kIdle,
+          static_cast<std::size_t>(static_cast<double>(g.sockets) * kIdlePart), g.memory / kClientPart};
 }
 
 sigset_t taken() {
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -66,7 +66,7 @@
   std::list<Session*>* waits = nullptr;  // the list that it stands in while it waits for its client
   TimePoint waitsSince;
   TimePoint begun = kNever;  // when its first unfinished message was first waited for
-  bool greeted = false, ending = false;
+  bool greeted = false, asked = false, ending = false;
   int inARow = 0;  // messages taken since it last had nothing to read
 };
 
@@ -92,7 +92,7 @@
 // Danger: those who connect by hundreds and say nothing would keep out whoever has something to ask. They make
 // room first, after those who have had their last word; but one that has just come may be about to speak.
 bool Clients::makeRoom() {
-  bool silent = !unheard_.empty() && scheduler_.now() - unheard_.front()->waitsSince > limits_.linger * 0.5;
+  bool silent = !unheard_.empty() && scheduler_.now() - unheard_.front()->waitsSince >= limits_.grace;
   std::list<Session*>& from = !dismissed_.empty()       ? dismissed_
                               : silent || idle_.empty() ? unheard_
                                                         : idle_;
@@ -111,6 +111,13 @@
       co_await listener_->in.wait(scheduler_.now() + limits_.linger);
       continue;
     }
+    // Danger: a crowd that comes at once would push out all who only wait to ask again, and each other before
+    // they could speak. Whoever comes to a full house waits in the kernel until somebody has been silent enough.
+    if (sessions_.size() >= limits_.sessions && dismissed_.empty() && !unheard_.empty())
+      if (TimePoint by = unheard_.front()->waitsSince + limits_.grace; by > scheduler_.now()) {
+        co_await sched::sleepUntil(scheduler_, by);
+        continue;
+      }
     bool full = false;
     int fd = sched::acceptOn(listener_->fd(), full);
     if (fd < 0) {
@@ -190,7 +197,15 @@
   TimePoint now = scheduler_.now();
   if (idle) s.begun = kNever;
   if (!idle && s.begun == kNever) s.begun = now;
-  bool set = co_await wait(s, idle ? idle_ : unheard_, idle ? now + limits_.idle : s.begun + limits_.silence);
+  // Danger: clients may hold only so many connections; those that ask once and keep theirs for good would leave
+  // none for whoever wants to ask. The ones idle longest go as soon as others need their places.
+  if (idle && s.asked && idle_.size() >= limits_.idleMost) {
+    Session* longest = idle_.front();
+    idle_.pop_front();
+    longest->waits = nullptr;
+    longest->socket.close();
+  }
+  bool set = co_await wait(s, idle && s.asked ? idle_ : unheard_, idle ? now + limits_.idle : s.begun + limits_.silence);
   if (set) co_return true;
   // Danger: clients that ask once and keep their connection for good pile up.
   if (idle) co_return sessions_.size() * 2 <= limits_.sessions;
@@ -237,6 +252,7 @@
     log::line("client_garbled", "what=type");
     s.end("08P01", "a message of an unknown type");
   }
+  s.asked |= s.stmt >= 0;
   s.drop(m.whole.size());
   co_await answerOwed(s);
   co_return true;
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -28,8 +28,10 @@
     std::size_t sessions = 0;
     Span linger;    // that a refused client is given to read why
     Span patience;  // that a client is given to read an answer
+    Span grace;     // within which one that has just come is likely to speak
     Span silence;   // that a client is given to say what it wants, and to finish a message
     Span idle;      // after which an idle connection goes where many are held
+    std::size_t idleMost = 0;  // connections that are kept between two queries
     std::size_t bytes = 0;  // that the buffers of all sessions together may hold
   };
 
@@ -62,8 +64,8 @@
   Limits limits_;
   std::unique_ptr<sched::Descriptor> listener_;
   std::list<Session*> sessions_;
-  // Those that wait for their client, the one that has waited longest first: with nothing open or in the
-  // buffer; before a whole startup or in the middle of a message; to have its last word read.
+  // Those that wait for their client, the one that has waited longest first: between two queries; before its
+  // first or in the middle of a message; to have its last word read.
   std::list<Session*> idle_, unheard_, dismissed_;
   bool away_ = false;
   std::size_t turning_ = 0;  // clients that are being turned away
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -358,7 +358,9 @@
 
 // Is it still to be written? Danger: a statement may have ended while its execution waited for a connection.
 bool Stores::due(const Job& j) const {
-  TimePoint now = scheduler_.now();
+  // Danger: a process that used up its part of a core stands still for most of a tenth of a second in the middle of
+  // a round; a bounded read that is judged by the round's beginning would leave stale.
+  TimePoint now = scheduler_.instant();
   return !j.cancelled && j.until > now && j.sendBy > now && giver_.wanted(j);
 }
 
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -59,10 +59,14 @@
   ::close(epoll_);
 }
 
-void Scheduler::readClock() {
+TimePoint Scheduler::instant() const {
   timespec t{};
   clock_gettime(CLOCK_REALTIME, &t);
-  now_ = std::max(now_, TimePoint{t.tv_sec * 1'000'000LL + t.tv_nsec / 1000});
+  return std::max(now_, TimePoint{t.tv_sec * 1'000'000LL + t.tv_nsec / 1000});
+}
+
+void Scheduler::readClock() {
+  now_ = instant();
   log::clock(now_);
 }
 
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -27,6 +27,8 @@
 
   // The time of this round: Unix time in microseconds, never earlier than that of the last.
   TimePoint now() const { return now_; }
+  // The same clock read at this instant: where a round may have been held up and what follows must not be late.
+  TimePoint instant() const;
 
   // Starts a coroutine that nobody awaits, after the caller gives up the thread.
   void spawn(Task<> task);
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -530,11 +530,14 @@
 
 void silence() {
   Drive d(2, 64);
+  Client usual(d);
+  usual.asks("one that will ask again", Client::read("0"));
   std::vector<std::unique_ptr<Client>> silent;
   for (int k = 0; k < 100; ++k) silent.push_back(std::make_unique<Client>(d, false));
   Client half(d);
   half.send(std::string("Q\0\0\0\x63SELECT", 11));
   Client(d).asks("a hundred have said nothing; one that asks", Client::read("a"));
+  usual.asks("the one that was there before them", Client::read("1"));
   d.pass(200);
   Client late(d);
   late.asks("one that comes then", Client::read("b"));
@@ -542,6 +545,18 @@
   int ended = 0;
   for (auto& c : silent) c->get(), ended += c->ended;
   std::printf("%d of the silent were ended\n", ended);
+  std::vector<std::unique_ptr<Client>> once;
+  for (int k = 0; k < 14; ++k) {
+    once.push_back(std::make_unique<Client>(d));
+    once.back()->ask(Client::read("once"));
+  }
+  d.pass(20);
+  int kept = 0;
+  for (auto& c : once) {
+    std::string in;
+    kept += c->socket->read(in, 1) != Socket::Got::ended;
+  }
+  std::printf("of 14 that have asked once and stay, at 64 descriptors, %d are kept\n", kept);
   Client huge(d);
   huge.send(std::string("Q\x03\x93\x87\0", 5) + std::string(1000, 'a'));
   std::printf("sixty megabytes are announced: %s\n", huge.get().c_str());
