One way to close the longest waiting session; a store's use is counted where it is asked

Read again, behaviour as it was: Clients::makeRoom and readMore closed a session by the same four lines (closeLongest); the pools' counters of connections and jobs, kept at four places, are read off the lists that hold them (Stores::unused, asked twice a keepalive); the configuration's limits are looked up once; signals are held once, by main; the idle part is a whole number like its siblings; the final ready of an unsound answer takes the same way out as any other message.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t kReserve = 24;
 constexpr std::size_t kStorePart = 3;
 // PROTOCOL: clients hold a third of the descriptors at most for what they ask; half of that may stand idle.
-constexpr double kIdlePart = 1.0 / 6;
+constexpr std::size_t kIdlePart = 6;
 // Memory, as parts of what is allowed: buffers of clients, answers on their way from stores and one row of them,
 // statements in hand with what they usually need, and the list as it comes, which grows tenfold when it is read.
 constexpr std::size_t kClientPart = 4, kAnswerPart = 4, kRowPart = 32, kStatementPart = 2, kListPart = 64;
@@ -36,7 +36,7 @@
   std::size_t rest = g.sockets - kReserve;
   Span unit = g.terms.connectTimeout;
   return {rest - rest / kStorePart, unit, g.keepalive, unit * kGrace, unit * kSilence, unit * kIdle,
-          static_cast<std::size_t>(static_cast<double>(g.sockets) * kIdlePart), g.memory / kClientPart};
+          g.sockets / kIdlePart, g.memory / kClientPart};
 }
 
 sigset_t taken() {
@@ -93,7 +93,6 @@
 }
 
 void Front::run() {
-  holdSignals();
   sigset_t signals = taken();
   enter(Phase::starting);
   tellList(given_.known, false);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -34,7 +34,7 @@
  public:
   explicit Front(Given given);
 
-  // From now on signals wait until run() takes them.
+  // From now on signals wait until run() takes them; to be called before it.
   static void holdSignals();
 
   // Serves until it is told to end, and returns when all that was taken has its answer.
--- a/src/front/given.cpp
+++ b/src/front/given.cpp
@@ -72,13 +72,13 @@
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
   g.sockets = static_cast<std::size_t>(limit.rlim_cur);
-  if (const json::Value* limits = config.find("limits"))
+  g.memory = kMostMemory;
+  if (const json::Value* limits = config.find("limits")) {
     if (const json::Value* sockets = limits->find("sockets"); sockets && sockets->isNumber())
       g.sockets = std::min(g.sockets, static_cast<std::size_t>(std::max(0.0, sockets->number)));
-  g.memory = kMostMemory;
-  if (const json::Value* limits = config.find("limits"))
     if (const json::Value* mb = limits->find("memory_mb"); mb && mb->isNumber())
       g.memory = static_cast<std::size_t>(std::clamp(mb->number * 1048576, 0.0, double{kMostMemory}));
+  }
   if (g.memory < kLeastMemory) throw Malformed("less than 16 MB of memory is allowed");
   if (g.sockets < 64) throw Malformed("fewer than 64 sockets are allowed");
   return g;
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -97,11 +97,15 @@
                               : silent || idle_.empty() ? unheard_
                                                         : idle_;
   if (from.empty()) return false;
-  Session* s = from.front();
-  from.pop_front();
+  closeLongest(from);
+  return true;
+}
+
+void Clients::closeLongest(std::list<Session*>& among) {
+  Session* s = among.front();
+  among.pop_front();
   s->waits = nullptr;
   s->socket.close();
-  return true;
 }
 
 sched::Task<> Clients::accept() {
@@ -199,13 +203,10 @@
   if (!idle && s.begun == kNever) s.begun = now;
   // Danger: clients may hold only so many connections; those that ask once and keep theirs for good would leave
   // none for whoever wants to ask. The ones idle longest go as soon as others need their places.
-  if (idle && s.asked && idle_.size() >= limits_.idleMost) {
-    Session* longest = idle_.front();
-    idle_.pop_front();
-    longest->waits = nullptr;
-    longest->socket.close();
-  }
-  bool set = co_await wait(s, idle && s.asked ? idle_ : unheard_, idle ? now + limits_.idle : s.begun + limits_.silence);
+  bool asksAgain = idle && s.asked;
+  if (asksAgain && idle_.size() >= limits_.idleMost) closeLongest(idle_);
+  TimePoint until = idle ? now + limits_.idle : s.begun + limits_.silence;
+  bool set = co_await wait(s, asksAgain ? idle_ : unheard_, until);
   if (set) co_return true;
   // Danger: clients that ask once and keep their connection for good pile up.
   if (idle) co_return sessions_.size() * 2 <= limits_.sessions;
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -57,6 +57,7 @@
   sched::Task<> letRead(Session& s);
   sched::Task<bool> wait(Session& s, std::list<Session*>& among, TimePoint until);
   bool makeRoom();
+  void closeLongest(std::list<Session*>& among);  // the one that has waited longest; there is one
   std::size_t held() const;  // bytes, in the buffers of all sessions
 
   sched::Scheduler& scheduler_;
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -231,11 +231,8 @@
         break;
       case 'Z':
         sound = complete != failed;
+        if (!sound) break;
         drop();
-        if (!sound) {
-          garbled = true;
-          break;
-        }
         if (complete) j.ending = Ending::ok, handOver(j);
         in.erase(0, kept), kept = 0;  // an error may have come in a row's place
         co_return true;
@@ -282,7 +279,6 @@
   j->place = jobs_.size();
   jobs_.push_back(std::move(job));
   Pool& pool = poolOf(j->store);
-  ++pool.jobs;
   if (!pool.idle.empty()) {
     // Danger: a store may close right behind its answer; a job that is written just then is lost. The one used
     // last is taken of those that have been idle for a moment.
@@ -316,8 +312,9 @@
 }
 
 bool Stores::unused(int store) const {
-  const Pool& pool = pools_[static_cast<std::size_t>(store)];
-  return pool.connections == 0 && pool.jobs == 0;
+  auto toIt = [&](const auto& one) { return one->store == store; };
+  return std::none_of(connections_.begin(), connections_.end(), toIt) &&
+         std::none_of(jobs_.begin(), jobs_.end(), toIt);
 }
 
 void Stores::release(int store) {
@@ -352,7 +349,7 @@
     log::line("stores_crowded", "connections=%zu", connections_.size());
   auto c = std::make_unique<Connection>(*this, store, fd);
   connections_.push_back(c.get());
-  ++pool.coming, ++pool.connections;
+  ++pool.coming;
   scheduler_.spawn(serve(std::move(c)));
 }
 
@@ -389,7 +386,6 @@
     jobs_[job->place]->place = job->place;
   }
   jobs_.pop_back();
-  --poolOf(job->store).jobs;
   giver_.ended(*kept);
 }
 
@@ -443,7 +439,6 @@
   std::erase(connections_, &conn);
   conn.socket.close();
   Pool& pool = poolOf(store);
-  --pool.connections;
   if (pool.coming < static_cast<int>(pool.waiting.size())) openOne(store);
 }
 
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -76,9 +76,7 @@
     std::optional<sockaddr_in> address;
     std::vector<Connection*> idle;  // the one used last at the end
     std::deque<Job*> waiting;
-    int coming = 0;       // connections being made
-    int connections = 0;  // in any state
-    int jobs = 0;         // in any state
+    int coming = 0;  // connections being made
   };
 
   Pool& poolOf(int store) { return pools_[static_cast<std::size_t>(store)]; }
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -65,9 +65,8 @@
   TimePoint now = scheduler_.now();
   if (job.stmt < 0) {
     // Danger: a store whose answer can't be read has answered; it is not away.
-    bool ok = job.ending == Ending::ok;
-    rules_.probed(job.store, ok || job.ending == Ending::spoilt || job.ending == Ending::invalid, job.report,
-                  now);
+    bool answered = job.ending == Ending::ok || job.ending == Ending::spoilt || job.ending == Ending::invalid;
+    rules_.probed(job.store, answered, job.report, now);
     return;
   }
   Statement& st = row(job.stmt);
