Native protocol's codec: frames of v4, v5 segments, LZ4, requests, replies, texts

The front is to speak the Cassandra native protocol beside PostgreSQL's; nothing of it was there. src/cql reads frames bare and in segments with their checksums, compression by liblz4, CRC-32 by zlib, the bodies of requests and answers to the last byte, and of a text its kind, its table and why it may not be run twice.

--- /dev/null
+++ b/tests/cql.cpp
@@ -0,0 +1,479 @@
+// The native protocol's codec, without sockets: what it makes of whole, split, damaged and lying input.
+#include <cstdio>
+#include <cstring>
+#include <random>
+
+#include "cql/framing.h"
+#include "cql/reply.h"
+#include "cql/request.h"
+#include "cql/text.h"
+#include "trace.h"
+
+using namespace reedchute::cql;
+using reedchute::test::Case;
+using reedchute::test::runCase;
+
+namespace {
+
+std::string queryBody(std::string_view text, int version, std::uint32_t flags = 0, std::string_view tail = {}) {
+  std::string body;
+  addLongString(body, text);
+  addShort(body, 1);
+  if (version >= 5)
+    addInt(body, static_cast<std::int32_t>(flags));
+  else
+    addByte(body, static_cast<std::uint8_t>(flags));
+  return body + std::string(tail);
+}
+
+std::string spoken(const Frame& f) {
+  return std::string(f.answer ? "answer" : "request") + " v" + std::to_string(f.version) + " " + nameOf(f.opcode) +
+         " stream " + std::to_string(f.stream) + " body " + std::to_string(f.body.size());
+}
+
+// All frames in `bytes`, which come in pieces of `step`; ends with what stopped it.
+std::string framesOf(Framing framing, std::string_view bytes, std::size_t step, std::size_t* bodies = nullptr) {
+  std::string said, in;
+  for (std::size_t k = 0; k < bytes.size(); k += step) {
+    in += bytes.substr(k, step);
+    for (;;) {
+      Frame f;
+      std::size_t used = 0;
+      Framed got = framing.next(in, used, f);
+      if (got == Framed::whole) {
+        said += spoken(f) + "\n";
+        if (bodies) *bodies += std::hash<std::string_view>{}(f.body);
+      }
+      in.erase(0, used);
+      if (got == Framed::bad) return said + "bad: " + framing.why() + "\n";
+      if (got == Framed::partial) break;
+    }
+  }
+  return said + (in.empty() ? "" : "left over\n");
+}
+
+Framing framingOf(bool segments, bool compress) {
+  Framing f(1 << 20);
+  if (compress) f.compress();
+  if (segments) f.segments();
+  return f;
+}
+
+std::string stream(const Framing& f, int version) {
+  std::string out;
+  std::string text(300, 'a');
+  f.put(out, false, version, 0, 1, Opcode::query, queryBody("SELECT " + text + " FROM t", version));
+  f.put(out, false, version, 0, 32767, Opcode::query, queryBody("SELECT b FROM t", version));
+  std::string noise;
+  std::minstd_rand chance(7);
+  for (int k = 0; k < 300'000; ++k) noise.push_back(static_cast<char>(chance() >> 8));
+  f.put(out, true, version, 0, 2, Opcode::result, noise);
+  f.put(out, false, version, 0, 3, Opcode::options, {});
+  return out;
+}
+
+void frames() {
+  for (bool segments : {false, true})
+    for (bool compress : {false, true}) {
+      int version = segments ? 5 : 4;
+      std::string bytes = stream(framingOf(segments, compress), version);
+      std::printf("-- version %d, %s\n", version, compress ? "compressed" : "plain");
+      std::size_t first = 0;
+      std::string said = framesOf(framingOf(segments, compress), bytes, bytes.size(), &first);
+      std::printf("%s", said.c_str());
+      int same = 0, all = 0;
+      for (std::size_t step : {1, 2, 3, 5, 7, 64, 1000, 4096, 100'000, 131'073}) {
+        std::size_t bodies = 0;
+        ++all;
+        same += framesOf(framingOf(segments, compress), bytes, step, &bodies) == said && bodies == first;
+      }
+      std::printf("the same in pieces: %d of %d\n", same, all);
+    }
+}
+
+// Every split of a short stream in two.
+void splits() {
+  for (bool segments : {false, true})
+    for (bool compress : {false, true}) {
+      Framing f = framingOf(segments, compress);
+      std::string bytes;
+      f.put(bytes, false, 4, 0, 1, Opcode::query, queryBody(std::string(200, 'q'), 4));
+      f.put(bytes, false, 4, 0, 2, Opcode::query, queryBody("SELECT 1", 4));
+      std::string said = framesOf(f, bytes, bytes.size());
+      std::size_t same = 0;
+      for (std::size_t at = 1; at < bytes.size(); ++at) {
+        Framing g = framingOf(segments, compress);
+        std::string got;
+        std::string in = bytes.substr(0, at);
+        for (int piece = 0; piece < 2; ++piece) {
+          Frame fr;
+          std::size_t used = 0;
+          Framed state;
+          while ((state = g.next(in, used, fr)) == Framed::whole) got += spoken(fr) + "\n", in.erase(0, used);
+          in.erase(0, used);
+          if (piece == 0) in += bytes.substr(at);
+        }
+        same += got == said;
+      }
+      std::printf("%s %s: %s\n", segments ? "segments" : "bare", compress ? "lz4" : "plain",
+                  same == bytes.size() - 1 ? "every split gives the same" : "a split gives something else");
+    }
+}
+
+// Each bit of a short stream in segments turned over: found, or the frames before it stand.
+void checksums() {
+  std::printf("crc24 of 'reedchute' %06x, crc32 %08x\n", crc24("reedchute"), crc32("reedchute"));
+  for (bool compress : {false, true}) {
+    Framing f = framingOf(true, compress);
+    std::string bytes;
+    f.put(bytes, false, 5, 0, 1, Opcode::query, queryBody(std::string(200, 'q'), 5));
+    std::size_t found = 0, waits = 0, passed = 0;
+    for (std::size_t bit = 0; bit < bytes.size() * 8; ++bit) {
+      std::string spoilt = bytes;
+      spoilt[bit / 8] = static_cast<char>(spoilt[bit / 8] ^ (1 << bit % 8));
+      std::string said = framesOf(framingOf(true, compress), spoilt, spoilt.size());
+      if (said.find("bad: ") != std::string::npos)
+        ++found;
+      else if (said.find("request") == std::string::npos)
+        ++waits;
+      else
+        ++passed;
+    }
+    std::printf("%s: turned bits found %s, passed %zu, left waiting %zu\n", compress ? "lz4" : "plain",
+                found == bytes.size() * 8 ? "all" : "not all", passed, waits);
+  }
+}
+
+void liars() {
+  auto one = [](const char* what, Framing f, const std::string& bytes) {
+    std::printf("%s: %s", what, framesOf(std::move(f), bytes, bytes.size()).c_str());
+  };
+  std::string negative;
+  addHeader(negative, false, 4, 0, 1, Opcode::query, 0xffffffff);
+  one("a negative length", framingOf(false, false), negative + "x");
+  std::string huge;
+  addHeader(huge, false, 4, 0, 1, Opcode::query, 0x7fffffff);
+  one("a huge length", framingOf(false, false), huge);
+  one("cut short", framingOf(false, false), huge.substr(0, 5));
+  std::string packed;
+  addInt(packed, 100);
+  packed += "\x10x";
+  one("compressed though none was agreed", framingOf(false, false),
+      whole(false, 4, kCompressed, 1, Opcode::query, packed));
+  one("a block shorter than stated", framingOf(false, true), whole(false, 4, kCompressed, 1, Opcode::query, packed));
+  std::string lie;
+  addInt(lie, 1 << 20);
+  lie += "abcd";
+  one("a size that no block grows to", framingOf(false, true), whole(false, 4, kCompressed, 1, Opcode::query, lie));
+  std::string less;
+  addInt(less, -5);
+  one("a negative size", framingOf(false, true), whole(false, 4, kCompressed, 1, Opcode::query, less));
+  std::string none;
+  addInt(none, 0);
+  one("an empty body, compressed", framingOf(false, true), whole(false, 4, kCompressed, 1, Opcode::options, none));
+  // Segments whose checksums are right and whose sense is not.
+  auto segment = [](std::string_view payload, bool self) {
+    std::string s, head;
+    std::uint32_t bits = static_cast<std::uint32_t>(payload.size()) | static_cast<std::uint32_t>(self) << 17;
+    for (int k = 0; k < 3; ++k) head.push_back(static_cast<char>(bits >> 8 * k & 0xff));
+    std::uint32_t crc = crc24(head);
+    for (int k = 0; k < 3; ++k) head.push_back(static_cast<char>(crc >> 8 * k & 0xff));
+    s = head + std::string(payload);
+    crc = crc32(payload);
+    for (int k = 0; k < 4; ++k) s.push_back(static_cast<char>(crc >> 8 * k & 0xff));
+    return s;
+  };
+  std::string f = whole(false, 5, 0, 1, Opcode::query, queryBody("SELECT 1", 5));
+  one("two frames in one segment", framingOf(true, false), segment(f + f, true));
+  one("a part of a frame in a segment of its own", framingOf(true, false), segment(f.substr(0, 12), true));
+  one("a frame over two segments", framingOf(true, false), segment(f.substr(0, 4), false) + segment(f.substr(4), false));
+  one("a segment of its own in the middle", framingOf(true, false), segment(f.substr(0, 4), false) + segment(f, true));
+  one("more behind the end of a split frame", framingOf(true, false),
+      segment(f.substr(0, 4), false) + segment(f.substr(4) + f, false));
+  one("an empty segment", framingOf(true, false), segment("", true));
+}
+
+void texts() {
+  for (const char* text : {
+           "SELECT a, b FROM weather.history WHERE station = 'x' AND day > ?",
+           "select * from \"Weather\".\"Hi\"\"st\" limit 3",
+           "SELECT now() FROM system.local",
+           "INSERT INTO history (station, day, value) VALUES ('it''s', ?, :v) USING TTL 5",
+           "INSERT INTO history (a) VALUES (now())",
+           "INSERT INTO history (a) VALUES (UUID ())",
+           "INSERT INTO history (a) VALUES (toTimestamp(now()))",
+           "INSERT INTO history (a) VALUES (intAsBlob(3))",
+           "INSERT INTO history (a) VALUES (mine.own(3))",
+           "INSERT INTO history (a) VALUES (\"Own\"(3))",
+           "INSERT INTO history (a) VALUES (values(3))",
+           "INSERT INTO \"H\" (a) VALUES (1)",
+           "UPDATE history SET a = key(3) WHERE (k) IN ((1), (2))",
+           "INSERT INTO history (a) VALUES (-5, - 3)",
+           "INSERT INTO history (a) VALUES (1) IF NOT EXISTS",
+           "INSERT INTO history JSON '{\"a\": \"now()\"}'",
+           "UPDATE weather.history USING TIMESTAMP 5 SET a = 'x + 1', b = -3 WHERE k = 1",
+           "UPDATE history SET n = n + 1 WHERE k = 1",
+           "UPDATE history SET n += 1 WHERE k = 1",
+           "UPDATE history SET n = n + ? WHERE k = 1",
+           "UPDATE history SET l = l + ['x'] WHERE k = 1",
+           "UPDATE history SET l = ['x'] + l WHERE k = 1",
+           "UPDATE history SET l = l - ['x'] WHERE k = 1",
+           "UPDATE history SET s = s + {'x'}, m = m - {'y'} WHERE k = 1",
+           "UPDATE history SET m['a'] = 3 WHERE k = 1",
+           "UPDATE history SET a = 3 WHERE k = 8b1f3c2a-0d4e-11ee-9f00-0242ac120002 IF a = 2",
+           "UPDATE history SET a = 3 WHERE k = 1 IF EXISTS",
+           "DELETE FROM history WHERE k = 1",
+           "DELETE l[2], m['a'] FROM history WHERE k = 1",
+           "DELETE a FROM history WHERE k = 1 IF a = 3",
+           "BEGIN BATCH INSERT INTO a.one (x) VALUES (1); UPDATE two SET y = 2 WHERE z = 3; APPLY BATCH;",
+           "BEGIN UNLOGGED BATCH UPDATE two SET y = y + 2 WHERE z = 3 APPLY BATCH",
+           "BEGIN COUNTER BATCH UPDATE c SET n = n + 1 WHERE k = 1; APPLY BATCH",
+           "BEGIN BATCH INSERT INTO one (x) VALUES (1) IF NOT EXISTS; APPLY BATCH",
+           "BEGIN BATCH INSERT INTO one (x) VALUES (1);",
+           "BEGIN BATCH APPLY BATCH; SELECT 1",
+           "USE \"Weather\"",
+           "CREATE TABLE IF NOT EXISTS weather.t (a int PRIMARY KEY)",
+           "TRUNCATE TABLE weather.t",
+           "-- nothing\n /* at */ // all",
+           "SELECT a FROM b; DELETE FROM b WHERE a = 1",
+           "SELECT a FROM b ;; -- end",
+           "SELECT $$it's; here$$ FROM b",
+           "SELECT 'open FROM b",
+           "SELECT (a FROM b",
+           "SELECT a) FROM b",
+           "SELECT a /* open",
+           "SELECT",
+           "",
+       }) {
+    TextRead r;
+    static constexpr const char* kStates[] = {"", "empty", "several", "unclosed"};
+    TextState state = readText(text, r);
+    std::string shown(text);
+    for (char& c : shown)
+      if (c == '\n') c = ' ';
+    std::printf("%s\n  ", shown.c_str());
+    if (state != TextState::good)
+      std::printf("%s\n", kStates[static_cast<int>(state)]);
+    else
+      std::printf("%s, %s, '%s'.'%s'%s, markers %d\n", nameOf(r.kind), nameOf(r.nature), r.keyspace.c_str(),
+                  r.table.c_str(), r.systemTable ? " (system)" : "", r.markers);
+  }
+}
+
+std::string told(const Frame& f) {
+  Asked a;
+  const char* why = "";
+  if (!readAsked(f, 4, a, why)) return std::string("bad: ") + why;
+  std::string said = consistencyName(a.parameters.consistency);
+  if (f.opcode == Opcode::prepare) said = "prepare";
+  if (!a.text.empty()) said += " '" + std::string(a.text) + "'";
+  if (!a.id.empty()) said += " id " + std::string(a.id) + " at " + std::to_string(a.idAt);
+  if (!a.resultId.empty()) said += " result id " + std::string(a.resultId);
+  if (a.parameters.values) said += " values " + std::to_string(a.parameters.values);
+  if (a.parameters.pageSize) said += " page " + std::to_string(a.parameters.pageSize);
+  if (a.parameters.pageState)
+    said += " state '" + std::string(*a.parameters.pageState) + "' at " + std::to_string(a.parameters.pageAt) + "+" +
+            std::to_string(a.parameters.pageSpan);
+  if (!a.parameters.keyspace.empty()) said += " keyspace " + std::string(a.parameters.keyspace);
+  for (const Part& p : a.parts) said += std::string(p.prepared ? " [id " : " [") + std::string(p.text) + "]";
+  for (const auto& [name, value] : a.payload) said += " " + std::string(name) + "=" + std::string(value);
+  return said;
+}
+
+Frame frameOf(Opcode o, int version, std::string_view body, std::uint8_t flags = 0) {
+  Frame f;
+  f.opcode = o, f.version = version, f.body = body, f.flags = flags;
+  return f;
+}
+
+std::vector<std::string> requestBodies(int version, std::vector<Opcode>& opcodes, std::vector<std::uint8_t>& flags) {
+  std::vector<std::string> bodies;
+  auto add = [&](Opcode o, std::string body, std::uint8_t flag = 0) {
+    opcodes.push_back(o), flags.push_back(flag), bodies.push_back(std::move(body));
+  };
+  std::string tail;
+  addShort(tail, 2), addBytes(tail, "ab"), addInt(tail, -1);
+  addInt(tail, 100), addBytes(tail, "state"), addShort(tail, 8), addLong(tail, 77);
+  add(Opcode::query, queryBody("SELECT", version, 0x3d, tail));
+  std::string named;
+  addShort(named, 1), addString(named, "n"), addInt(named, -2);
+  add(Opcode::query, queryBody("SELECT", version, 0x41, named));
+  std::string payload;
+  addBytesMap(payload, {{"c", "any"}, {"k", ""}});
+  add(Opcode::query, payload + queryBody("SELECT", version), kPayload);
+  std::string prepare;
+  addLongString(prepare, "SELECT ?");
+  if (version >= 5) addInt(prepare, 1), addString(prepare, "ks");
+  add(Opcode::prepare, prepare);
+  std::string execute;
+  addShortBytes(execute, "ID");
+  if (version >= 5) addShortBytes(execute, "RID");
+  std::string rest = queryBody("", version);
+  add(Opcode::execute, execute + rest.substr(4));
+  std::string batch;
+  addByte(batch, 1), addShort(batch, 2);
+  addByte(batch, 0), addLongString(batch, "INSERT"), addShort(batch, 1), addBytes(batch, "v");
+  addByte(batch, 1), addShortBytes(batch, "ID"), addShort(batch, 0);
+  add(Opcode::batch, batch + rest.substr(4));
+  return bodies;
+}
+
+void requests() {
+  for (int version : {4, 5}) {
+    std::printf("-- version %d\n", version);
+    std::vector<Opcode> opcodes;
+    std::vector<std::uint8_t> flags;
+    std::vector<std::string> bodies = requestBodies(version, opcodes, flags);
+    std::size_t cutFound = 0, cuts = 0;
+    for (std::size_t k = 0; k < bodies.size(); ++k) {
+      std::printf("%s: %s\n", nameOf(opcodes[k]), told(frameOf(opcodes[k], version, bodies[k], flags[k])).c_str());
+      for (std::size_t n = 0; n < bodies[k].size(); ++n, ++cuts)
+        cutFound += told(frameOf(opcodes[k], version, std::string_view(bodies[k]).substr(0, n), flags[k])).starts_with("bad");
+      cutFound += told(frameOf(opcodes[k], version, bodies[k] + "x", flags[k])).starts_with("bad"), ++cuts;
+    }
+    std::printf("cut or lengthened: %s found\n", cutFound == cuts ? "all" : "not all");
+  }
+  std::string many;
+  addByte(many, 0), addShort(many, 5);
+  std::printf("a batch of five where four are allowed: %s\n", told(frameOf(Opcode::batch, 4, many)).c_str());
+  std::printf("a batch of type 3: %s\n", told(frameOf(Opcode::batch, 4, std::string("\3\0\0\0\1\0", 6))).c_str());
+  std::printf("an unknown flag: %s\n", told(frameOf(Opcode::query, 4, queryBody("S", 4, 0x80))).c_str());
+  std::printf("a value of length -3: %s\n",
+              told(frameOf(Opcode::query, 4, queryBody("S", 4, 1, std::string("\0\1\xff\xff\xff\xfd", 6)))).c_str());
+  std::printf("nothing to ask: %s\n", told(frameOf(Opcode::ready, 4, "")).c_str());
+}
+
+std::string repliesTold(const Frame& f) {
+  Reply r;
+  if (!readReply(f, r)) return "bad";
+  std::string said;
+  if (f.opcode == Opcode::error) {
+    char code[12];
+    std::snprintf(code, sizeof code, "%04x", static_cast<unsigned>(r.code));
+    said = std::string("error ") + code + " '" + std::string(r.text) + "' " + std::string(r.writeType) +
+           std::string(r.unprepared);
+  } else {
+    said = "kind " + std::to_string(static_cast<int>(r.kind)) + " " + std::string(r.keyspace) + "." +
+           std::string(r.table) + " rows " + std::to_string(r.rows) + " of " + std::to_string(r.columns);
+    if (r.pageState) said += " state '" + std::string(*r.pageState) + "' at " + std::to_string(r.pageAt);
+    if (!r.id.empty()) said += " id " + std::string(r.id) + " markers " + std::to_string(r.markers);
+  }
+  for (const auto& [name, value] : r.payload) said += " " + std::string(name) + "=" + std::string(value);
+  return said;
+}
+
+std::string metadata(std::int32_t flags, const std::string& state, const std::string& columns, std::int32_t n) {
+  std::string m;
+  addInt(m, flags), addInt(m, n);
+  if (flags & 2) addBytes(m, state);
+  if (flags & 1) addString(m, "ks"), addString(m, "tab");
+  return m + columns;
+}
+
+void replies() {
+  std::vector<std::pair<Opcode, std::string>> all;
+  std::string one;
+  addInt(one, 1);
+  all.emplace_back(Opcode::result, one);
+  std::string col;
+  addString(col, "a"), addShort(col, 0x000d);
+  std::string rows;
+  addInt(rows, 2);
+  rows += metadata(3, "next", col, 1);
+  addInt(rows, 2), addBytes(rows, "x"), addInt(rows, -1);
+  all.emplace_back(Opcode::result, rows);
+  std::string nested;
+  addString(nested, "a"), addShort(nested, 0x21), addShort(nested, 0x0d), addShort(nested, 0x31), addShort(nested, 2),
+      addShort(nested, 0x09), addShort(nested, 0x30), addString(nested, "k"), addString(nested, "u"), addShort(nested, 1),
+      addString(nested, "f"), addShort(nested, 0x20), addShort(nested, 0x0b);
+  std::string deep;
+  addInt(deep, 2);
+  deep += metadata(1, "", nested, 1);
+  addInt(deep, 0);
+  all.emplace_back(Opcode::result, deep);
+  all.emplace_back(Opcode::result, setKeyspaceBody("ks"));
+  std::string prepared;
+  addInt(prepared, 4), addShortBytes(prepared, "ID");
+  std::string markers = metadata(1, "", col, 1);
+  prepared += markers.substr(0, 8);
+  addInt(prepared, 1), addShort(prepared, 0);
+  prepared += markers.substr(8) + metadata(4, "", "", 1);
+  all.emplace_back(Opcode::result, prepared);
+  std::string change;
+  addInt(change, 5), addString(change, "CREATED"), addString(change, "TABLE"), addString(change, "ks"), addString(change, "t");
+  all.emplace_back(Opcode::result, change);
+  all.emplace_back(Opcode::error, errorBody(kOverloaded, "busy"));
+  std::string timeout = errorBody(kWriteTimeout, "late");
+  addShort(timeout, 1), addInt(timeout, 0), addInt(timeout, 1), addString(timeout, "BATCH");
+  all.emplace_back(Opcode::error, timeout);
+  std::string unprepared = errorBody(kUnprepared, "what");
+  addShortBytes(unprepared, "ID");
+  all.emplace_back(Opcode::error, unprepared);
+  std::string failure = errorBody(kWriteFailure, "f");
+  addShort(failure, 1), addInt(failure, 0), addInt(failure, 1), addInt(failure, 1), addString(failure, "SIMPLE");
+  all.emplace_back(Opcode::error, failure);
+  std::size_t cutFound = 0, cuts = 0;
+  for (const auto& [opcode, body] : all) {
+    Frame f = frameOf(opcode, 4, body);
+    std::printf("%s\n", repliesTold(f).c_str());
+    for (std::size_t n = 0; n < body.size(); ++n, ++cuts)
+      cutFound += repliesTold(frameOf(opcode, 4, std::string_view(body).substr(0, n))) == "bad";
+    cutFound += repliesTold(frameOf(opcode, 4, body + "x")) == "bad", ++cuts;
+  }
+  std::printf("cut or lengthened: %s found\n", cutFound == cuts ? "all" : "not all");
+  std::string payload;
+  addBytesMap(payload, {{"server_role", "writer"}});
+  std::string traced = std::string(16, 't') + std::string("\0\1\0\1w", 5) + payload + one;
+  std::printf("traced, warned, with a payload: %s\n",
+              repliesTold(frameOf(Opcode::result, 4, traced, kTracing | kWarnings | kPayload)).c_str());
+  std::string endless;
+  addInt(endless, 2);
+  addInt(endless, 1), addInt(endless, 1), addString(endless, "k"), addString(endless, "t"), addString(endless, "c");
+  for (int k = 0; k < 1000; ++k) addShort(endless, 0x20);
+  std::printf("a list of lists without end: %s\n", repliesTold(frameOf(Opcode::result, 4, endless)).c_str());
+  std::string empty;
+  addInt(empty, 2), addInt(empty, 4), addInt(empty, 0), addInt(empty, 0x7fffffff);
+  std::printf("two thousand million rows of no column: %s\n", repliesTold(frameOf(Opcode::result, 4, empty)).c_str());
+  std::string ours = rowsBody("system", "local", {{"key"}, {"tokens", Type::setOfText}}, {{"local", textSet({"1"})}});
+  std::printf("one of ours: %s\n", repliesTold(frameOf(Opcode::result, 4, ours)).c_str());
+}
+
+// Random changes to good input of every kind: nothing crashes, and no read goes beyond what came (the sanitizers).
+void noise() {
+  std::ranlux24_base chance(20261201);
+  std::size_t read = 0, refused = 0;
+  for (int round = 0; round < 40'000; ++round) {
+    int version = round % 2 ? 4 : 5;
+    std::vector<Opcode> opcodes;
+    std::vector<std::uint8_t> flags;
+    std::vector<std::string> bodies = requestBodies(version, opcodes, flags);
+    std::size_t k = chance() % bodies.size();
+    std::string body = bodies[k];
+    for (unsigned n = chance() % 4; n-- > 0 && !body.empty();)
+      body[chance() % body.size()] = static_cast<char>(chance());
+    if (chance() % 4 == 0) body.resize(chance() % (body.size() + 1));
+    Asked a;
+    const char* why = "";
+    ++(readAsked(frameOf(opcodes[k], version, body, flags[k]), 4, a, why) ? read : refused);
+    Reply r;
+    readReply(frameOf(Opcode::result, version, body, flags[k]), r);
+    TextRead t;
+    readText(body, t);
+    for (bool segments : {false, true}) {
+      Framing f = framingOf(segments, round % 3 == 0);
+      std::string bytes;
+      f.put(bytes, false, version, 0, 1, opcodes[k], body);
+      bytes[chance() % bytes.size()] = static_cast<char>(chance());
+      framesOf(f, bytes, 1 + chance() % bytes.size());
+    }
+  }
+  std::printf("%s\n", read > 1000 && refused > 1000 ? "some read, some refused, none beyond its end" : "too few of a kind");
+}
+
+constexpr Case kCases[] = {{"cqlFrames", frames},   {"cqlSplits", splits},     {"cqlChecksums", checksums},
+                           {"cqlLiars", liars},     {"cqlTexts", texts},       {"cqlRequests", requests},
+                           {"cqlReplies", replies}, {"cqlNoise", noise}};
+
+}  // namespace
+
+int main(int argc, char** argv) { return runCase(kCases, argc, argv); }
