Sessions, pools and jobs know no protocol; PostgreSQL is a unit beside them

peers/ held PostgreSQL inside clients and stores and included stages/statement.h against the grain, so a second protocol had no place. src/exchange has what doors, stages and peers hand to each other; peers keep sockets, buffers, rooms and pools; src/doors/pg has PostgreSQL's take-in, talk towards clients and carrier towards stores. A connection may carry several jobs at once where its protocol can; a pool then opens another only when all are full. An execution is worded when it is written, which spares a copy of the text while it waits.

--- /dev/null
+++ b/src/doors/pg/carrier.cpp
@@ -0,0 +1,302 @@
+#include "doors/pg/carrier.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "doors/pg/take_in.h"
+#include "exchange/report.h"
+#include "log/log.h"
+#include "peers/stores.h"
+#include "pg/messages.h"
+#include "pg/statement.h"
+
+namespace reedchute::doors::pg {
+namespace pg = reedchute::pg;
+using exchange::Job;
+namespace {
+
+constexpr std::size_t kReadAtOnce = 64 * 1024;  // before what came is looked at
+constexpr std::size_t kTail = 256;              // what usually follows a row
+constexpr const char *kUser = "web", *kDatabase = "orders";  // as clients give them
+
+// SQLSTATE classes by which a store says that the statement is at fault, wherever it is sent.
+bool blamesStatement(std::string_view code) {
+  for (std::string_view kind : {"0A", "21", "22", "23", "42", "44", "54"})
+    if (code.substr(0, 2) == kind) return true;
+  return false;
+}
+
+std::string wordsOf(const Job& j) {
+  if (!j.request) return pg::query("SHOW usage");
+  const auto& q = static_cast<const Query&>(*j.request);
+  return pg::query(pg::withWait(q.text, q.waitAt, q.waitSize, j.leftMs));
+}
+
+// One connection to a store, which carries a job at a time.
+class Connection : public exchange::Carrier {
+ public:
+  Connection(peers::Stores& owner, int of, exchange::Speech spoken, int fd)
+      : Carrier(owner, of, spoken), socket(owner.scheduler(), fd) {}
+
+  void take(Job* j) override {
+    job = j;
+    socket.in.set();
+  }
+  void cancel(Job*) override { socket.close(); }
+  void close() override { socket.close(); }
+  std::size_t jobs() const override { return job != nullptr; }
+  std::size_t held() const override { return in.capacity(); }
+  sched::Task<bool> comeUp(TimePoint until) override;
+  sched::Task<> serve() override;
+
+  enum class Seen { nothing, good, broken };
+
+  // Takes one message off the buffer; `broken` where the stream makes no sense.
+  Seen take(pg::Message& m) {
+    used = 0;
+    std::string_view rest = std::string_view(in).substr(kept);
+    if (!pg::storeMessageMayFollow(rest, stores.limits().row)) return Seen::broken;
+    switch (pg::frame(rest, stores.limits().row, m)) {
+      case pg::Framed::whole:
+        used = m.whole.size();
+        return pg::wellFormed(m) ? Seen::good : Seen::broken;
+      case pg::Framed::partial:
+        return Seen::nothing;
+      default:
+        return Seen::broken;
+    }
+  }
+  void drop() { in.erase(kept, used), used = 0; }
+  void keep() { kept += used, used = 0; }
+
+  // Between jobs: is it still open, and has nothing come that a job's answer could be mistaken for?
+  bool quiet() {
+    if (socket.read(in, kReadAtOnce) == sched::Socket::Got::ended) return false;
+    pg::Message m;
+    while (take(m) == Seen::good && (m.type == 'S' || m.type == 'N')) drop();
+    return in.empty();
+  }
+
+  // The next message, in `in` until drop(); false where the connection ended or the time came first, and where
+  // the store makes a pause of `pause` in the middle of its answer.
+  sched::Task<bool> next(pg::Message& m, TimePoint until, bool begun = false) {
+    for (;;) {
+      Seen seen = take(m);
+      if (seen == Seen::good) co_return true;
+      if (seen == Seen::broken) {
+        garbled = true;
+        co_return false;
+      }
+      // A row says early how long it is: its place is taken once, and not again and again as it grows.
+      std::size_t whole = kept + pg::statedSize(std::string_view(in).substr(kept));
+      if (whole > in.capacity()) in.reserve(whole + kTail);
+      // Danger: rows that all stores send at once would together take all memory there is.
+      if (in.size() > kReadAtOnce && stores.held() > stores.limits().bytes) {
+        log::line("store_too_much", "store=%d bytes=%zu", store, stores.held());
+        garbled = true;
+        co_return false;
+      }
+      sched::Socket::Got got = socket.read(in, std::max(in.size() + kReadAtOnce, whole));
+      if (got == sched::Socket::Got::some) continue;
+      if (got == sched::Socket::Got::ended) co_return false;
+      // Danger: a length that promises more than ever comes would hold the job for all of its time.
+      TimePoint stalls = scheduler().now() + stores.limits().connectTimeout;
+      bool waits = (begun || in.size() > kept) && stalls < until;
+      bool set = co_await socket.in.wait(waits ? stalls : until);
+      if (!set) {
+        (waits ? garbled : late) = true;
+        co_return false;
+      }
+    }
+  }
+  sched::Scheduler& scheduler() { return stores.scheduler(); }
+  // A commit's time is rounded up, and clocks are read at different moments: a little ahead is no untruth.
+  TimePoint newest() { return scheduler().now() + stores.limits().connectTimeout; }
+
+  sched::Socket socket;
+  std::string in;
+  std::size_t used = 0, kept = 0;  // of `in`: the message in hand; before it, what of the answer goes on as it came
+  Job* job = nullptr;
+  bool garbled = false, late = false;
+
+  void learn(std::string_view payload, Job& to);
+  void handOver(Job& to);
+  sched::Task<bool> perform();
+};
+
+void Connection::learn(std::string_view payload, Job& to) {
+  auto name = pg::takeString(payload), value = pg::takeString(payload);
+  if (!name || !value) return;
+  if (*name == "server_role")
+    to.role = exchange::readRole(*value);
+  if (*name == "usage") to.report = exchange::readReport(*value, newest());
+  if (*name == "commit_clock")
+    if (auto at = exchange::readPosition(*value, newest())) to.position = at;
+}
+
+// The answer goes on in the buffer in which it came: values may be long, and each copy of them costs.
+void Connection::handOver(Job& to) {
+  std::string behind = in.substr(kept);
+  in.resize(kept);
+  to.answer.bytes = std::exchange(in, std::move(behind));
+  kept = 0;
+}
+
+sched::Task<bool> Connection::comeUp(TimePoint until) {
+  bool up = co_await sched::connected(socket, until);
+  if (!up) co_return false;
+  std::string hello = pg::startup(kUser, kDatabase);
+  bool sent = co_await sched::writeAll(socket, hello, until);
+  if (!sent) co_return false;
+  for (;;) {
+    pg::Message m;
+    bool got = co_await next(m, until);
+    if (!got) co_return false;
+    char type = m.type;
+    // Only 'authentication ok' is spoken here.
+    bool refused = type == 'E' || (type == 'R' && m.payload != std::string_view("\0\0\0\0", 4));
+    if (type == 'E') {
+      std::string code(pg::errorField(m.payload, 'C'));
+      log::line("store_refused", "store=%d code=%s", store, code.c_str());
+    }
+    bool known = type == 'R' || type == 'S' || type == 'K' || type == 'N' || type == 'Z';
+    drop();
+    if (refused || !known) co_return false;
+    if (type == 'Z') co_return true;
+  }
+}
+
+// Writes the job and reads its answer; false where the connection is of no more use. Sets the job's ending.
+sched::Task<bool> Connection::perform() {
+  Job& j = *job;
+  bool written = false;
+  {
+    std::string bytes = wordsOf(j);
+    written = co_await sched::writeAll(socket, bytes, j.until);
+  }
+  if (!written) {
+    // Danger: a job that was called off while it was written says nothing about the store.
+    j.ending = j.cancelled ? Ending::moot : Ending::connectFailed;
+    co_return false;
+  }
+  // Danger: from here on the store may have run it, whatever becomes of the connection.
+  int rows = 0;
+  bool described = false, complete = false, failed = false;
+  for (;;) {
+    pg::Message m;
+    bool got = co_await next(m, j.until, described || failed);
+    if (!got) break;
+    bool sound = true;
+    switch (m.type) {
+      case 'T':
+        sound = !described && !failed;
+        described = true;
+        keep();
+        break;
+      case 'D':
+        sound = described && !complete && !failed && rows == 0;
+        ++rows;
+        if (j.stmt < 0)
+          if (auto value = pg::firstColumn(m.payload)) j.report = exchange::readReport(*value, newest());
+        keep();
+        break;
+      case 'C':
+        sound = rows == 1 && !complete && !failed;
+        complete = true;
+        keep();
+        break;
+      case 'E': {
+        std::string_view code = pg::errorField(m.payload, 'C');
+        sound = !failed && !complete;
+        failed = true;
+        j.answer.bytes = m.whole;
+        if (code == "25006" || code == "72000")
+          j.ending = Ending::miss;
+        else if (code == "53300")
+          j.ending = Ending::full;
+        else
+          j.ending = blamesStatement(code) ? Ending::invalid : Ending::error;
+        if (code != "25006" && code != "72000" && code != "53300" && code != "XX000" && j.stmt >= 0)
+          log::line("store_error", "store=%d code=%.5s", store, std::string(code).c_str());
+        break;
+      }
+      case 'S':
+        learn(m.payload, j);
+        break;
+      case 'N':
+        break;
+      case 'Z':
+        sound = complete != failed;
+        if (!sound) break;
+        drop();
+        if (complete) j.ending = Ending::ok, handOver(j);
+        in.erase(0, kept), kept = 0;  // an error may have come in a row's place
+        co_return true;
+      default:
+        sound = false;
+    }
+    drop();
+    garbled |= !sound;
+    if (garbled) break;
+  }
+  if (garbled) {
+    log::line("store_garbled", "store=%d", store);
+    // Danger: nothing of a spoilt answer is to be believed, least of all that the statement never ran.
+    j.role = Role::unknown, j.position.reset(), j.report = {};
+    j.ending = j.cancelled ? Ending::cancelled : Ending::spoilt;
+    co_return false;
+  }
+  if (failed) co_return false;  // its word stands, though the connection ended before it was ready again
+  if (complete && !j.cancelled) handOver(j);
+  j.ending = j.cancelled ? Ending::cancelled
+             : complete  ? Ending::ok
+             : late      ? Ending::timeout
+                         : Ending::reset;
+  co_return false;
+}
+
+sched::Task<> Connection::serve() {
+  while (socket.open()) {
+    if (!job) job = stores.nextFor(*this);
+    if (!job) {
+      idleSince = scheduler().now();
+      stores.ready(*this);
+      // Danger: the store's machine closes what has been idle for the stated time; a job that is written just
+      // then is lost. A connection is given up a connect time-out earlier.
+      TimePoint until = idleSince + stores.limits().keepalive - stores.limits().connectTimeout;
+      bool alive = true;
+      while (alive && !job) {
+        bool set = co_await socket.in.wait(until);
+        if (job) break;
+        alive = set && quiet();
+      }
+      if (!job) stores.unready(*this);
+      if (!alive) break;
+    }
+    // Danger: what the store sent unasked would pass for the answer, and what it ended would lose the job.
+    if (!quiet()) {
+      if (job->cancelled) break;
+      stores.giveBack(std::exchange(job, nullptr));
+      break;
+    }
+    Job* j = job;
+    if (!stores.due(*j)) {
+      job = nullptr;
+      stores.finish(j, Ending::moot);
+      continue;
+    }
+    bool sound = co_await perform();
+    job = nullptr;
+    stores.finish(j, j->ending);
+    if (!sound) break;
+  }
+  if (job) stores.finish(std::exchange(job, nullptr), Ending::moot);
+}
+
+}  // namespace
+
+std::unique_ptr<exchange::Carrier> Voice::carrier(peers::Stores& stores, int store, exchange::Speech speech, int fd) {
+  return std::make_unique<Connection>(stores, store, speech, fd);
+}
+
+}  // namespace reedchute::doors::pg
--- a/src/stages/take_in.cpp
+++ b/src/doors/pg/take_in.cpp
@@ -1,4 +1,4 @@
-#include "stages/take_in.h"
+#include "doors/pg/take_in.h"
 
 #include <algorithm>
 
@@ -7,13 +7,15 @@
 #include "pg/messages.h"
 #include "pg/statement.h"
 
-namespace reedchute::stages {
+namespace reedchute::doors::pg {
 namespace {
 
 constexpr std::size_t kMostText = 64 * 1024 * 2 + 4096;  // a value of 64 KiB in hex digits, and the rest
 constexpr std::int64_t kLongestWaitMs = 86'400'000;
 constexpr std::int64_t kLatestMs = 100'000'000'000'000;  // far ahead, and far from what microseconds can hold
 
+namespace pg = reedchute::pg;
+
 std::string refusal(std::string_view code, std::string_view text) {
   log::line("bad_statement", "code=%s what=\"%s\"", std::string(code).c_str(), std::string(text).c_str());
   return pg::error(false, code, text) + pg::ready();
@@ -29,7 +31,7 @@
 
 }  // namespace
 
-std::optional<std::string> TakeIn::read(std::string_view text, TimePoint now, Taken& taken) const {
+std::optional<std::string> TakeIn::read(std::string_view text, TimePoint now, exchange::Taken& taken) const {
   if (text.size() > kMostText) return refusal("54000", "the statement is too long");
   if (text.find('\0') != std::string_view::npos) return refusal("22021", "a zero byte in the statement");
   pg::Fields f;
@@ -63,10 +65,12 @@
   a.repeated = f.repeated;
   // Danger: a commit's time is rounded up and may lie ahead of this clock; it is a write all the same.
   if (f.afterMs) a.sinceWrite = std::max(Span{1}, now - TimePoint{*f.afterMs * 1000});
-  taken.statement.id = f.id;
-  taken.statement.text = text;
-  taken.statement.waitAt = f.waitAt, taken.statement.waitSize = f.waitSize;
+  auto query = std::make_unique<Query>();
+  query->text = text;
+  query->waitAt = f.waitAt, query->waitSize = f.waitSize;
+  taken.id = f.id;
+  taken.request = std::move(query);
   return std::nullopt;
 }
 
-}  // namespace reedchute::stages
+}  // namespace reedchute::doors::pg
--- /dev/null
+++ b/src/exchange/exchange.h
@@ -0,0 +1,95 @@
+// What doors, stages and peers hand to each other: statements as they were taken, jobs for stores, and answers. It
+// knows of no protocol; a protocol's own forms are behind Request and in an answer's bytes.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+
+#include "rules.h"
+
+namespace reedchute::exchange {
+
+// In whose form a statement came: a small index into the stores' table of speeches, where each version that can't be
+// carried on another's connection is a speech of its own.
+using Speech = int;
+
+// A statement as its protocol has it. Its executions are worded from it when they are written.
+class Request {
+ public:
+  virtual ~Request() = default;
+  virtual std::size_t size() const = 0;  // bytes, for what memory allows
+};
+
+// The ids of statements that are owed an answer.
+using OpenIds = std::unordered_set<std::string>;
+
+// What a store gave: its own bytes, and what their protocol says of them beside (frame flags, opcode).
+struct Answer {
+  std::string bytes;
+  unsigned form = 0;
+};
+
+// The client connection that a statement came on. It gets one of these for each, once; `ticket` is what it gave in
+// with the statement.
+class Asker {
+ public:
+  virtual ~Asker() = default;
+  // `by`: the store that gave the answer, `position` what it says of its data.
+  virtual void completed(int ticket, Answer answer, int by, std::optional<TimePoint> position) = 0;
+  virtual void rejected(int ticket, Span comeBack) = 0;
+  virtual void aborted(int ticket) = 0;
+};
+
+// A statement that was understood.
+struct Taken {
+  std::string id;  // empty: none was given
+  Speech speech = 0;
+  std::unique_ptr<Request> request;
+  Arrival arrival;
+};
+
+// Where clients' connections bring what they were asked.
+class Desk {
+ public:
+  virtual ~Desk() = default;
+  // The statement's index; or -1, and the asker was told that it is rejected.
+  virtual int admit(Taken taken, Asker& asker, int ticket) = 0;
+  virtual void left(int stmt) = 0;  // its client went away, or wants it no more
+};
+
+class Carrier;
+
+// One message to a store and what came of it: an execution of a statement, or a probe.
+struct Job {
+  int stmt = -1;  // -1: a probe
+  int execution = -1;
+  int store = -1;
+  Speech speech = 0;
+  const Request* request = nullptr;  // none: a probe
+  std::int64_t leftMs = 0;           // that the front will wait for it, for protocols that say so
+  TimePoint begun, until;
+  TimePoint sendBy = kForever;  // not written at all later than this
+  Carrier* on = nullptr;        // the connection that it was given to
+  std::size_t place = 0;        // among all jobs
+  bool cancelled = false;
+  // what came back
+  Ending ending = Ending::moot;
+  Answer answer;  // or an error in its place
+  Role role = Role::unknown;
+  std::optional<TimePoint> position;
+  Report report;
+};
+
+// Whoever gave out the jobs.
+class Giver {
+ public:
+  virtual ~Giver() = default;
+  virtual bool wanted(const Job& job) const = 0;  // is it still to be sent?
+  virtual void ended(Job& job) = 0;               // exactly once a job
+};
+
+}  // namespace reedchute::exchange
--- /dev/null
+++ b/src/exchange/report.h
@@ -0,0 +1,19 @@
+// Load reports of stores, in whatever protocol they come. No I/O.
+#pragma once
+
+#include <string_view>
+
+#include "rules.h"
+
+namespace reedchute::exchange {
+
+// name=value pairs set apart by commas, as reports come. One whose position lies after `newest` is none.
+Report readReport(std::string_view text, TimePoint newest);
+
+// A store's word for its role, as it stands beside its answers.
+Role readRole(std::string_view word);
+
+// A position in milliseconds of Unix time; nothing where it is no number, or lies after `newest`.
+std::optional<TimePoint> readPosition(std::string_view text, TimePoint newest);
+
+}  // namespace reedchute::exchange
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -68,11 +68,12 @@
       rules_(given_.terms, scheduler_.now()),
       book_(scheduler_, rules_, relay_),
       stores_(scheduler_, book_, storeLimits(given_)),
-      send_(scheduler_, book_, stores_, given_.terms.connectTimeout),
+      send_(scheduler_, book_, stores_, given_.terms.connectTimeout, 0),
       route_(scheduler_, rules_, book_, send_, relay_, stores_),
-      takeIn_(given_.names, groups_, book_.openIds()),
       admit_(rules_, book_),
-      clients_(scheduler_, *this, clientLimits(given_)),
+      speech_(stores_.add(voice_)),
+      door_(scheduler_, *this, doors::pg::TakeIn(given_.names, groups_, book_.openIds()), speech_),
+      clients_(scheduler_, door_, clientLimits(given_)),
       list_(scheduler_, *this, given_.discovery, given_.discoveryHost,
             {given_.terms.askEvery, given_.terms.connectTimeout, given_.terms.mustAsk},
             given_.memory / kListPart),
@@ -170,21 +171,15 @@
   }
 }
 
-int Front::query(std::string_view text, stages::Asker& asker, std::string& reply) {
-  stages::Taken taken;
-  TimePoint now = scheduler_.now();
-  if (auto answer = takeIn_.read(text, now, taken)) {
-    reply = std::move(*answer);
-    return -1;
-  }
+int Front::admit(exchange::Taken taken, exchange::Asker& asker, int ticket) {
   // Danger: statements whose answers are long would together take all memory there is.
-  if (book_.held() + stages::Book::costOf(text.size()) > given_.memory / kStatementPart) {
+  if (book_.held() + stages::Book::costOf(taken.request->size()) > given_.memory / kStatementPart) {
     log::line("memory_full", "bytes=%zu open=%zu", book_.held(), book_.openCount());
-    relay_.rejected(asker, Span{});
+    asker.rejected(ticket, Span{});
     return -1;
   }
   ++taken_;
-  return admit_.admit(std::move(taken), asker, now);
+  return admit_.admit(std::move(taken), asker, ticket, scheduler_.now());
 }
 
 void Front::left(int stmt) {
@@ -221,7 +216,7 @@
     e.primary = m.primary;
     e.weight = m.weight;
     if (m.startedMs > 0) e.started = TimePoint{m.startedMs * 1000};
-    stores_.place(e.store, m.address);
+    stores_.place(e.store, speech_, m.address);
     rules_.entry(e, now);
     const char* state = m.listed == Listed::up ? "up" : m.listed == Listed::draining ? "draining" : "gone";
     log::line("member", "store=%d id=%s group=%lld state=%s primary=%d started_ms=%lld", e.store,
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -7,6 +7,8 @@
 #include <optional>
 
 #include "base/index.h"
+#include "doors/pg/carrier.h"
+#include "doors/pg/talk.h"
 #include "front/given.h"
 #include "peers/clients.h"
 #include "peers/list.h"
@@ -16,7 +18,6 @@
 #include "stages/relay.h"
 #include "stages/route.h"
 #include "stages/send.h"
-#include "stages/take_in.h"
 
 namespace reedchute::front {
 
@@ -30,7 +31,7 @@
 
 const char* nameOf(Phase p);
 
-class Front : public peers::Desk, public peers::Keeper {
+class Front : public exchange::Desk, public peers::Keeper {
  public:
   explicit Front(Given given);
 
@@ -41,7 +42,7 @@
   void run();
   Phase phase() const { return phase_; }
 
-  int query(std::string_view text, stages::Asker& asker, std::string& reply) override;
+  int admit(exchange::Taken taken, exchange::Asker& asker, int ticket) override;
   void left(int stmt) override;
   void listCame(const peers::Roster& roster) override;
   void listFailed() override;
@@ -68,8 +69,10 @@
   peers::Stores stores_;
   stages::Send send_;
   stages::Route route_;
-  stages::TakeIn takeIn_;
   stages::Admit admit_;
+  doors::pg::Voice voice_;
+  exchange::Speech speech_;
+  doors::pg::Door door_;
   peers::Clients clients_;
   peers::List list_;
   sched::Event told_;  // a signal to end has come
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -8,27 +8,32 @@
 namespace reedchute::peers {
 namespace {
 
-constexpr std::size_t kMostMessage = 160 * 1024;  // a value of 64 KiB in hex digits, and the rest
-constexpr std::size_t kMostStartup = 10'000;      // as PostgreSQL has it
 constexpr std::size_t kMostAhead = 16 * 1024;     // read while an answer is still owed
 constexpr std::size_t kMostDrained = 64 * 1024;   // read from a client that has had its last word
 constexpr int kInARow = 16;  // messages of one client, or new clients, before others have their turn
+constexpr std::size_t kUnreadPart = 8;  // of the memory for clients, that one may leave unread
 constexpr std::size_t kTurning = 8;  // clients turned away at once; the next waits to be accepted
 
 }  // namespace
 
-class Clients::Session : public stages::Asker {
+class Clients::Session : public Line {
  public:
-  Session(sched::Scheduler& s, int fd) : socket(s, fd) {}
+  Session(Clients& c, int fd) : socket(c.scheduler_, fd), talk(c.door_.talk(*this)), clients(c) {}
 
-  void answer(std::string bytes) override {
+  void say(std::string bytes) override {
+    // Danger: one that asks on many streams and reads nothing would have answers gathered without end.
+    if (out.size() + bytes.size() > clients.limits_.bytes / kUnreadPart + kMostAhead && writing) {
+      log::line("client_reads_nothing", "bytes=%zu", out.size());
+      return cut();
+    }
     if (out.empty())
       out = std::move(bytes);
     else
       out += bytes;
-    stmt = -1;
     socket.in.set();
   }
+  void end() override { ending = true; }
+  void cut() override { socket.close(); }
 
   // The bytes after `used` are the session's next ones.
   std::string_view left() const { return std::string_view(in).substr(used); }
@@ -44,34 +49,36 @@
     return socket.read(in, most);
   }
   sched::Task<bool> flush(TimePoint until) {
-    bool done = co_await sched::writeAll(socket, out, until);
-    if (out.capacity() > kMostAhead)
-      out = {};
+    bool done = true;
+    writing = true;
+    // Danger: while it is written more may be said, and the buffer would move away underneath.
+    while (done && !out.empty()) {
+      going = std::exchange(out, {});
+      done = co_await sched::writeAll(socket, going, until);
+    }
+    if (going.capacity() > kMostAhead)
+      going = {};
     else
-      out.clear();
+      out = std::exchange(going, {}), out.clear();
+    writing = false;
     co_return done;
   }
 
-  // The last that it is told, before its connection ends.
-  void end(std::string_view code, std::string_view text) {
-    out += pg::error(true, code, text);
-    ending = true;
-  }
-
   sched::Socket socket;
-  std::string in, out;
+  std::unique_ptr<Talk> talk;
+  Clients& clients;
+  std::string in, out, going;  // `going`: what is being written
   std::size_t used = 0;
-  int stmt = -1;
   std::list<Session*>::iterator place, waitPlace;
   std::list<Session*>* waits = nullptr;  // the list that it stands in while it waits for its client
   TimePoint waitsSince;
   TimePoint begun = kNever;  // when its first unfinished message was first waited for
-  bool greeted = false, asked = false, ending = false;
+  bool asked = false, ending = false, writing = false;
   int inARow = 0;  // messages taken since it last had nothing to read
 };
 
-Clients::Clients(sched::Scheduler& s, Desk& desk, Limits limits)
-    : scheduler_(s), desk_(desk), limits_(limits) {}
+Clients::Clients(sched::Scheduler& s, Door& door, Limits limits)
+    : scheduler_(s), door_(door), limits_(limits) {}
 Clients::~Clients() = default;
 
 int Clients::listen(const sockaddr_in& address) {
@@ -138,7 +145,7 @@
     }
     bool turnAway = sessions_.size() >= limits_.sessions && !makeRoom();
     if (turnAway) log::line("client_turned_away", "sessions=%zu", sessions_.size()), ++turning_;
-    auto s = std::make_unique<Session>(scheduler_, fd);
+    auto s = std::make_unique<Session>(*this, fd);
     sessions_.push_back(s.get());
     s->place = std::prev(sessions_.end());
     scheduler_.spawn(serve(std::move(s), turnAway));
@@ -151,7 +158,7 @@
 
 std::size_t Clients::held() const {
   std::size_t bytes = 0;
-  for (const Session* s : sessions_) bytes += s->in.capacity() + s->out.capacity();
+  for (const Session* s : sessions_) bytes += s->in.capacity() + s->out.capacity() + s->going.capacity();
   return bytes;
 }
 
@@ -166,33 +173,14 @@
   co_return set;
 }
 
-pg::Framed Clients::greet(Session& s) {
-  std::int32_t code = 0;
-  std::size_t size = 0;
-  pg::Framed f = pg::frameStartup(s.left(), kMostStartup, code, size);
-  if (f != pg::Framed::whole) return f;
-  s.drop(size);
-  if (code == pg::kSslCode || code == pg::kGssCode) {
-    s.out += 'N';
-  } else if (code == pg::kCancelCode) {
-    s.socket.close();
-  } else if (code >> 16 != 3) {
-    s.end("0A000", "only version 3 of the protocol is spoken here");
-  } else {
-    s.out += pg::greeting();
-    s.greeted = true;
-  }
-  return f;
-}
-
 sched::Task<bool> Clients::readMore(Session& s) {
-  bool idle = s.greeted && s.left().empty();
-  sched::Socket::Got got = s.more(kMostMessage + 1);
+  bool owed = s.talk->owed() > 0, idle = s.talk->greeted() && s.left().empty() && !owed;
+  sched::Socket::Got got = s.more(door_.mostMessage() + 1);
   if (got == sched::Socket::Got::some) {
     // Danger: hundreds who each send most of a long message would together take all memory there is.
     if (s.in.size() > kMostAhead && held() > limits_.bytes) {
       log::line("client_too_much", "bytes=%zu", held());
-      s.end("53200", "no memory is left for so long a message");
+      s.talk->part(Parting::noMemory);
     }
     co_return true;
   }
@@ -206,59 +194,34 @@
   bool asksAgain = idle && s.asked;
   if (asksAgain && idle_.size() >= limits_.idleMost) closeLongest(idle_);
   TimePoint until = idle ? now + limits_.idle : s.begun + limits_.silence;
-  bool set = co_await wait(s, asksAgain ? idle_ : unheard_, until);
+  // One that is owed answers isn't closed to make room, and what it is owed may take its time.
+  if (owed && s.left().empty()) s.begun = kNever, until = kForever;
+  bool set = false;
+  if (owed)
+    set = co_await s.socket.in.wait(until);
+  else
+    set = co_await wait(s, asksAgain ? idle_ : unheard_, until);
   if (set) co_return true;
   // Danger: clients that ask once and keep their connection for good pile up.
   if (idle) co_return sessions_.size() * 2 <= limits_.sessions;
-  log::line("client_silent", "what=%s", s.greeted ? "message" : "startup");
-  s.end("08P01", s.greeted ? "a message that was not finished in time" : "no startup message in time");
+  bool greeted = s.talk->greeted();
+  log::line("client_silent", "what=%s", greeted ? "message" : "startup");
+  s.talk->part(greeted ? Parting::unfinished : Parting::noStartup);
   co_return true;
 }
 
 sched::Task<> Clients::answerOwed(Session& s) {
-  while (s.stmt >= 0) {
+  while (s.talk->full() && s.out.empty()) {
     co_await s.socket.in.wait();
-    if (s.stmt < 0) break;
+    if (!s.talk->full()) break;
     // What a client sends ahead is read later; that it leaves shows at once.
     if (!s.socket.open() || s.more(kMostAhead) == sched::Socket::Got::ended) {
-      desk_.left(std::exchange(s.stmt, -1));
+      s.talk->left();
       s.socket.close();
     }
   }
 }
 
-sched::Task<bool> Clients::take(Session& s, pg::Message m) {
-  s.begun = kNever;
-  if (++s.inARow > kInARow) {
-    // Danger: a client that sends without end would keep all others waiting.
-    s.inARow = 0;
-    co_await sched::sleepUntil(scheduler_, scheduler_.now() + Span{1});
-  }
-  if (m.type == 'X') co_return false;
-  // Only simple queries are spoken; what follows an extended one up to its Sync is passed over.
-  if (m.type == 'Q') {
-    std::optional<std::string_view> text = pg::takeString(m.payload);
-    std::string reply;
-    if (text && m.payload.empty())
-      s.stmt = desk_.query(*text, s, reply);
-    else
-      reply = pg::error(false, "08P01", "a query without its end") + pg::ready();
-    s.out += reply;
-  } else if (m.type == 'S') {
-    s.out += pg::ready();
-  } else if (m.type == 'P' || m.type == 'F') {
-    s.out += pg::error(false, "0A000", "only simple queries are spoken here");
-    if (m.type == 'F') s.out += pg::ready();
-  } else if (std::string_view("BEDCHdcfp").find(m.type) == std::string_view::npos) {
-    log::line("client_garbled", "what=type");
-    s.end("08P01", "a message of an unknown type");
-  }
-  s.asked |= s.stmt >= 0;
-  s.drop(m.whole.size());
-  co_await answerOwed(s);
-  co_return true;
-}
-
 // Danger: closing with unread bytes resets the connection and may take the last message with it.
 sched::Task<> Clients::letRead(Session& s) {
   TimePoint until = scheduler_.now() + limits_.linger;
@@ -282,23 +245,34 @@
 
 sched::Task<> Clients::serve(std::unique_ptr<Session> owned, bool turnAway) {
   Session& s = *owned;
-  if (turnAway) s.end("53300", "too many clients");
+  if (turnAway) s.talk->part(Parting::fullHouse);
   bool good = true;
   while (good && !s.ending && s.socket.open()) {
-    pg::Message m;
-    bool greeted = s.greeted;
-    pg::Framed f = greeted ? pg::frame(s.left(), kMostMessage, m) : greet(s);
-    if (f == pg::Framed::bad) {
-      log::line("client_garbled", "what=%s", greeted ? "message" : "startup");
-      s.end("08P01", greeted ? "a message whose length makes no sense" : "the startup message can't be read");
-    } else if (f == pg::Framed::partial) {
+    std::size_t used = 0;
+    if (s.talk->full()) {
+      co_await answerOwed(s);
+    } else if (s.talk->take(s.left(), used)) {
+      s.begun = kNever;
+      s.asked |= s.talk->owed() > 0;
+      s.drop(used);
+      if (s.talk->full()) continue;
+      if (++s.inARow > kInARow) {
+        // Danger: a client that sends without end would keep all others waiting.
+        s.inARow = 0;
+        co_await sched::sleepUntil(scheduler_, scheduler_.now() + Span{1});
+      }
+      // Answers that are ready at once go together, as the client sent its messages together.
+      if (s.talk->owed() > 0 && !s.left().empty() && s.out.size() < kMostAhead) continue;
+    } else if (s.out.empty() && !s.ending) {
+      s.drop(used);
       good = co_await readMore(s);
-    } else if (greeted) {
-      good = co_await take(s, m);
+    } else {
+      s.drop(used);
     }
     if (good && !s.ending && !s.out.empty()) good = co_await s.flush(scheduler_.now() + limits_.patience);
   }
   if (s.ending && s.socket.open()) co_await letRead(s);
+  if (s.talk->owed() > 0) s.talk->left();
   sessions_.erase(s.place);
   if (turnAway) --turning_;
 }
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -1,4 +1,5 @@
-// The clients: the listening socket and a session for each connection.
+// The clients of one door: its listening socket and a session for each connection. What is spoken on it is its
+// protocol's Talk; the session has the socket, the buffers, the time and the room.
 #pragma once
 
 #include <list>
@@ -6,20 +7,48 @@
 #include <string>
 #include <string_view>
 
-#include "pg/messages.h"
+#include "exchange/exchange.h"
 #include "sched/socket.h"
-#include "stages/statement.h"
 
 namespace reedchute::peers {
 
-// Where sessions bring their queries.
-class Desk {
+// Why a client is told its last word.
+enum class Parting {
+  fullHouse,   // there is no room for one more
+  noMemory,    // its message is too long for what is left
+  noStartup,   // it didn't say in time who it is
+  unfinished,  // it left a message unfinished
+};
+
+// Where a talk says something; a session.
+class Line {
+ public:
+  virtual ~Line() = default;
+  virtual void say(std::string bytes) = 0;  // to the client, in order
+  virtual void end() = 0;                   // what was said was the last; it is given time to read it
+  virtual void cut() = 0;                   // closes at once
+};
+
+// One client's connection in its protocol: takes messages off what came and says what is to be answered. No I/O.
+class Talk {
+ public:
+  virtual ~Talk() = default;
+  // Takes one message off the beginning of `bytes`, of which `used` are then done with. False where none is whole
+  // yet. A garbled one is answered and the line ended.
+  virtual bool take(std::string_view bytes, std::size_t& used) = 0;
+  virtual bool greeted() const = 0;
+  virtual std::size_t owed() const = 0;  // answers to statements
+  virtual bool full() const = 0;         // takes no message before an answer has gone
+  virtual void part(Parting why) = 0;    // says the last word
+  virtual void left() = 0;               // its client has gone: what is owed is wanted no more
+};
+
+// A protocol's unit for its clients.
+class Door {
  public:
-  virtual ~Desk() = default;
-  // Takes a query. Either the answer is ready at once and is put into `reply`, or the statement's index is
-  // returned and the asker gets its answer later.
-  virtual int query(std::string_view text, stages::Asker& asker, std::string& reply) = 0;
-  virtual void left(int stmt) = 0;  // the client went away in the middle
+  virtual ~Door() = default;
+  virtual std::unique_ptr<Talk> talk(Line& line) = 0;
+  virtual std::size_t mostMessage() const = 0;  // bytes that may have to be gathered
 };
 
 class Clients {
@@ -35,7 +64,7 @@
     std::size_t bytes = 0;  // that the buffers of all sessions together may hold
   };
 
-  Clients(sched::Scheduler& s, Desk& desk, Limits limits);
+  Clients(sched::Scheduler& s, Door& door, Limits limits);
   ~Clients();
 
   // Accepts until stopListening() and returns the port; throws where the address can't be had.
@@ -50,10 +79,8 @@
 
   sched::Task<> accept();
   sched::Task<> serve(std::unique_ptr<Session> s, bool turnAway);
-  pg::Framed greet(Session& s);            // takes a startup message, if one is there
-  sched::Task<bool> readMore(Session& s);  // false: the session is over, as with the next
-  sched::Task<bool> take(Session& s, pg::Message m);
-  sched::Task<> answerOwed(Session& s);  // returns at once where none is
+  sched::Task<bool> readMore(Session& s);  // false: the session is over
+  sched::Task<> answerOwed(Session& s);    // until it takes messages again
   sched::Task<> letRead(Session& s);
   sched::Task<bool> wait(Session& s, std::list<Session*>& among, TimePoint until);
   bool makeRoom();
@@ -61,7 +88,7 @@
   std::size_t held() const;  // bytes, in the buffers of all sessions
 
   sched::Scheduler& scheduler_;
-  Desk& desk_;
+  Door& door_;
   Limits limits_;
   std::unique_ptr<sched::Descriptor> listener_;
   std::list<Session*> sessions_;
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -1,47 +1,63 @@
-// The stores: their connections, one coroutine each, and the jobs that travel on them, one at a time.
+// The stores: pools of connections by store and speech, and the jobs that travel on them. What is spoken on a
+// connection is its protocol's, which has a folder under src/doors and a row in the table of speeches.
 #pragma once
 
 #include <deque>
 #include <memory>
 #include <optional>
-#include <string>
 #include <vector>
 
-#include "pg/messages.h"
-#include "rules.h"
+#include "exchange/exchange.h"
 #include "sched/socket.h"
 
 namespace reedchute::peers {
+class Stores;
+}
 
-class Connection;
-
-// One message to a store and what came of it: an execution of a statement, or a probe.
-struct Job {
-  int stmt = -1;  // -1: a probe
-  int execution = -1;
-  int store = -1;
-  std::string bytes;
-  TimePoint begun, until;
-  TimePoint sendBy = kForever;  // not written at all later than this
-  Connection* on = nullptr;
-  std::size_t place = 0;  // among all jobs
-  bool cancelled = false;
-  // what came back
-  Ending ending = Ending::moot;
-  std::string row;    // RowDescription, DataRow and CommandComplete as they came, or an error in their place
-  Role role = Role::unknown;
-  std::optional<TimePoint> position;
-  Report report;
+namespace reedchute::exchange {
+
+// A connection to a store, whatever it speaks.
+class Carrier {
+ public:
+  Carrier(peers::Stores& owner, int of, Speech in) : stores(owner), store(of), speech(in) {}
+  virtual ~Carrier() = default;
+
+  // Does what comes before the first job; false where the connection can't be had.
+  virtual sched::Task<bool> comeUp(TimePoint until) = 0;
+  // Carries jobs until the connection is of no more use. All jobs on it have ended then.
+  virtual sched::Task<> serve() = 0;
+  // A job for it, one that stands among the ready of its pool.
+  virtual void take(Job* job) = 0;
+  virtual void cancel(Job* job) = 0;  // one of its jobs is not wanted any more
+  virtual void close() = 0;           // at once
+  virtual void retire() {}            // takes no new job, and closes when it has none
+  virtual std::size_t jobs() const = 0;
+  virtual std::size_t held() const = 0;  // bytes, in its buffers
+
+  peers::Stores& stores;
+  const int store;
+  const Speech speech;
+  TimePoint idleSince{};  // when it last came to have no job
 };
 
-// Whoever gave out the jobs.
-class Giver {
+// How stores are spoken to in one speech.
+class Voice {
  public:
-  virtual ~Giver() = default;
-  virtual bool wanted(const Job& job) const = 0;  // is it still to be sent?
-  virtual void ended(Job& job) = 0;               // exactly once a job
+  virtual ~Voice() = default;
+  // `fd`: a connection that was started, or -1 where it couldn't be.
+  virtual std::unique_ptr<Carrier> carrier(peers::Stores& stores, int store, Speech speech, int fd) = 0;
+  virtual std::size_t atOnce() const = 0;  // jobs that one connection carries
+  virtual void forget(int /*store*/) {}    // its index may be another's from now on
 };
 
+}  // namespace reedchute::exchange
+
+namespace reedchute::peers {
+
+using exchange::Carrier;
+using exchange::Job;
+using exchange::Speech;
+
 class Stores {
  public:
   struct Limits {
@@ -51,13 +67,16 @@
     std::size_t bytes = 0;        // that answers on their way may have, all together
   };
 
-  Stores(sched::Scheduler& s, Giver& giver, Limits limits);
+  Stores(sched::Scheduler& s, exchange::Giver& giver, Limits limits);
   ~Stores();
 
-  // Where a store is reached. Idle connections to another address are closed.
-  void place(int store, const sockaddr_in& address);
+  // A row of the table of speeches; before the first store is placed.
+  Speech add(exchange::Voice& voice);
+
+  // Where a store is reached in one speech. Idle connections to another address are closed.
+  void place(int store, Speech speech, const sockaddr_in& address);
   Job* give(std::unique_ptr<Job> job);
-  // Stops waiting: ends its connection if it was written to one.
+  // Stops waiting: ends its connection if it was written to one that carries nothing else.
   void cancel(Job* job);
   // The list says that a store drains or is gone: what still waits for a connection to it is not sent.
   void withdraw(int store);
@@ -67,37 +86,49 @@
   // Is there neither a connection nor a job to it?
   bool unused(int store) const;
   // Nothing is kept of a store that is unused.
-  void forget(int store) { poolOf(store) = {}; }
+  void forget(int store);
 
- private:
-  friend class Connection;
+  // For carriers.
+  sched::Scheduler& scheduler() { return scheduler_; }
+  const Limits& limits() const { return limits_; }
+  std::size_t held() const;  // bytes, in the buffers of all connections
+  // Is it still to be written? Danger: a statement may have ended while its execution waited for a connection.
+  bool due(const Job& job) const;
+  // The next job for this connection; those that are not to be sent any more end on the way.
+  Job* nextFor(Carrier& c);
+  // It may be given jobs from now on, until unready() or until one is given to it that fills it.
+  void ready(Carrier& c);
+  void unready(Carrier& c);
+  // A job that wasn't written waits again, before all others.
+  void giveBack(Job* job);
+  void finish(Job* job, Ending ending);
 
+ private:
   struct Pool {
     std::optional<sockaddr_in> address;
-    std::vector<Connection*> idle;  // the one used last at the end
+    std::vector<Carrier*> ready;  // the one used last at the end
     std::deque<Job*> waiting;
     int coming = 0;  // connections being made
   };
 
-  Pool& poolOf(int store) { return pools_[static_cast<std::size_t>(store)]; }
-  void openOne(int store);
+  Pool& poolOf(int store, Speech speech) {
+    return pools_[static_cast<std::size_t>(store)][static_cast<std::size_t>(speech)];
+  }
+  Pool& poolOf(const Carrier& c) { return poolOf(c.store, c.speech); }
+  std::size_t atOnce(Speech s) const { return voices_[static_cast<std::size_t>(s)]->atOnce(); }
+  void closeIdle(Pool& pool);
+  void openWanted(int store, Speech speech);
+  void openOne(int store, Speech speech);
   bool closeLongestIdle();
-  std::size_t held() const;  // bytes, in the buffers of all connections
-  bool due(const Job& job) const;
-  Job* nextFor(int store);
-  void finish(Job* job, Ending ending);
-  void failOldest(int store);
-  sched::Task<> serve(std::unique_ptr<Connection> c);
+  sched::Task<> run(std::unique_ptr<Carrier> c);
 
   sched::Scheduler& scheduler_;
-  Giver& giver_;
+  exchange::Giver& giver_;
   Limits limits_;
-  std::vector<Pool> pools_;
-  std::vector<Connection*> connections_;
+  std::vector<exchange::Voice*> voices_;
+  std::vector<std::vector<Pool>> pools_;  // by store and speech
+  std::vector<Carrier*> connections_;
   std::vector<std::unique_ptr<Job>> jobs_;
 };
 
-// name=value pairs set apart by commas, as reports come. One whose position lies after `newest` is none.
-Report readReport(std::string_view text, TimePoint newest);
-
 }  // namespace reedchute::peers
--- a/src/stages/admit.cpp
+++ b/src/stages/admit.cpp
@@ -4,10 +4,15 @@
 
 namespace reedchute::stages {
 
-int Admit::admit(Taken taken, Asker& asker, TimePoint now) {
-  taken.statement.asker = &asker;
-  taken.statement.open = true;
-  int stmt = book_.enter(std::move(taken.statement));
+int Admit::admit(exchange::Taken taken, exchange::Asker& asker, int ticket, TimePoint now) {
+  Statement st;
+  st.asker = &asker;
+  st.ticket = ticket;
+  st.id = std::move(taken.id);
+  st.speech = taken.speech;
+  st.request = std::move(taken.request);
+  st.open = true;
+  int stmt = book_.enter(std::move(st));
   rules_.arrived(stmt, taken.arrival, now);
   return stmt;
 }
--- a/src/stages/admit.h
+++ b/src/stages/admit.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "stages/book.h"
-#include "stages/take_in.h"
 
 namespace reedchute::stages {
 
@@ -10,7 +9,7 @@
  public:
   Admit(Rules& rules, Book& book) : rules_(rules), book_(book) {}
 
-  int admit(Taken taken, Asker& asker, TimePoint now);
+  int admit(exchange::Taken taken, exchange::Asker& asker, int ticket, TimePoint now);
   // Its client has left: nothing is sent or answered for it any more.
   void withdraw(int stmt);
 
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -15,8 +15,9 @@
     free_.pop_back();
   }
   row(stmt) = std::move(st);
-  openIds_.insert(row(stmt).id);
-  held_ += costOf(row(stmt).text.size());
+  if (!row(stmt).id.empty()) openIds_.insert(row(stmt).id);
+  ++open_;
+  held_ += costOf(row(stmt).request->size());
   touch();
   return stmt;
 }
@@ -32,6 +33,7 @@
   st.open = false;
   st.asker = nullptr;
   openIds_.erase(st.id);
+  --open_;
   offer(stmt);
 }
 
@@ -43,7 +45,7 @@
 void Book::roundEnded() {
   touched_ = false;
   for (int stmt : leaving_) {
-    held_ -= costOf(row(stmt).text.size());
+    held_ -= costOf(row(stmt).request->size());
     row(stmt) = {};
     free_.push_back(stmt);
   }
@@ -56,11 +58,11 @@
   });
 }
 
-bool Book::wanted(const peers::Job& job) const {
+bool Book::wanted(const exchange::Job& job) const {
   return job.stmt < 0 || rows_[static_cast<std::size_t>(job.stmt)].open;
 }
 
-void Book::ended(peers::Job& job) {
+void Book::ended(exchange::Job& job) {
   touch();
   TimePoint now = scheduler_.now();
   if (job.stmt < 0) {
@@ -84,7 +86,7 @@
   r.closed = completes || !st.open;
   rules_.resolved(job.stmt, r, now);
   if (completes) {
-    relay_.completed(*st.asker, std::move(job.row));
+    relay_.completed(st, job);
     close(job.stmt);
   } else {
     offer(job.stmt);
--- a/src/stages/book.h
+++ b/src/stages/book.h
@@ -4,7 +4,6 @@
 #include <cstddef>
 #include <vector>
 
-#include "peers/stores.h"
 #include "rules.h"
 #include "sched/scheduler.h"
 #include "stages/relay.h"
@@ -12,7 +11,7 @@
 
 namespace reedchute::stages {
 
-class Book : public peers::Giver {
+class Book : public exchange::Giver {
  public:
   Book(sched::Scheduler& s, Rules& rules, Relay& relay) : scheduler_(s), rules_(rules), relay_(relay) {}
 
@@ -24,17 +23,17 @@
   void roundEnded();
   // Does a row that is in use name this store?
   bool names(int store) const;
-  // Bytes set aside for the rows in use: a statement's text as it came and as it is sent, and its answer.
+  // Bytes set aside for the rows in use: a statement as it came and as it is sent, and its answer.
   std::size_t held() const { return held_; }
-  static std::size_t costOf(std::size_t textSize) { return 2 * textSize + kMostAnswer; }
-  std::size_t openCount() const { return openIds_.size(); }
-  const OpenIds& openIds() const { return openIds_; }
+  static std::size_t costOf(std::size_t size) { return 2 * size + kMostAnswer; }
+  std::size_t openCount() const { return open_; }
+  const exchange::OpenIds& openIds() const { return openIds_; }
   // Has the module been told anything since the last round?
   bool touched() const { return touched_; }
   void touch();
 
-  bool wanted(const peers::Job& job) const override;
-  void ended(peers::Job& job) override;
+  bool wanted(const exchange::Job& job) const override;
+  void ended(exchange::Job& job) override;
 
  private:
   static constexpr std::size_t kMostAnswer = 128 * 1024;
@@ -46,7 +45,8 @@
   Relay& relay_;
   std::vector<Statement> rows_;
   std::vector<int> free_, leaving_;
-  OpenIds openIds_;
+  exchange::OpenIds openIds_;
+  std::size_t open_ = 0;
   std::size_t held_ = 0;
   bool touched_ = false;
 };
--- a/src/stages/route.cpp
+++ b/src/stages/route.cpp
@@ -28,14 +28,14 @@
 void Route::reject(int stmt, Span comeBack) {
   Statement& st = book_.row(stmt);
   if (!st.open) return;
-  relay_.rejected(*st.asker, comeBack);
+  relay_.rejected(st, comeBack);
   book_.close(stmt);
 }
 
 void Route::abort(int stmt) {
   Statement& st = book_.row(stmt);
   if (!st.open) return;
-  relay_.aborted(*st.asker);
+  relay_.aborted(st);
   book_.close(stmt);
 }
 
--- a/src/stages/send.cpp
+++ b/src/stages/send.cpp
@@ -4,23 +4,21 @@
 #include <memory>
 #include <utility>
 
-#include "pg/messages.h"
-#include "pg/statement.h"
-
 namespace reedchute::stages {
 
 void Send::execution(int stmt, int store, TimePoint stopAt, TimePoint sendBy) {
   Statement& st = book_.row(stmt);
   TimePoint now = scheduler_.now();
-  auto job = std::make_unique<peers::Job>();
+  auto job = std::make_unique<exchange::Job>();
   job->stmt = stmt;
   job->execution = static_cast<int>(st.jobs.size());
   job->store = store;
   job->begun = now;
   job->until = stopAt;
   job->sendBy = sendBy;
-  std::int64_t left = std::max<std::int64_t>(0, (stopAt - now).us / 1000);
-  job->bytes = pg::query(pg::withWait(st.text, st.waitAt, st.waitSize, left));
+  job->speech = st.speech;
+  job->request = st.request.get();
+  job->leftMs = std::max<std::int64_t>(0, (stopAt - now).us / 1000);
   ++st.out;
   st.stores.push_back(store);
   st.jobs.push_back(nullptr);
@@ -30,15 +28,15 @@
 void Send::cancel(int stmt, int execution) {
   Statement& st = book_.row(stmt);
   if (static_cast<std::size_t>(execution) >= st.jobs.size()) return;
-  if (peers::Job* job = st.jobs[static_cast<std::size_t>(execution)]) stores_.cancel(job);
+  if (exchange::Job* job = st.jobs[static_cast<std::size_t>(execution)]) stores_.cancel(job);
 }
 
 void Send::probe(int store) {
-  auto job = std::make_unique<peers::Job>();
+  auto job = std::make_unique<exchange::Job>();
   job->store = store;
   job->begun = scheduler_.now();
   job->until = job->begun + probeTimeout_;
-  job->bytes = pg::query("SHOW usage");
+  job->speech = probes_;
   stores_.give(std::move(job));
 }
 
--- a/src/stages/send.h
+++ b/src/stages/send.h
@@ -8,8 +8,9 @@
 
 class Send {
  public:
-  Send(sched::Scheduler& s, Book& book, peers::Stores& stores, Span probeTimeout)
-      : scheduler_(s), book_(book), stores_(stores), probeTimeout_(probeTimeout) {}
+  // `probes`: the speech that probes go in.
+  Send(sched::Scheduler& s, Book& book, peers::Stores& stores, Span probeTimeout, exchange::Speech probes)
+      : scheduler_(s), book_(book), stores_(stores), probeTimeout_(probeTimeout), probes_(probes) {}
 
   void execution(int stmt, int store, TimePoint stopAt, TimePoint sendBy);
   void cancel(int stmt, int execution);
@@ -20,6 +21,7 @@
   Book& book_;
   peers::Stores& stores_;
   Span probeTimeout_;
+  exchange::Speech probes_;
 };
 
 }  // namespace reedchute::stages
