--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -54,7 +54,8 @@
 std::string Toy::member(int number) const {
   const Store& s = *stores_[static_cast<std::size_t>(number)];
   return "{\"id\":\"" + idOf(number) + "\",\"addr\":\"127.0.0.1:" + std::to_string(s.port) +
-         "\",\"zone\":\"a\",\"kind\":\"toy\",\"cell\":" + std::to_string(s.group) + ",\"state\":\"" +
+         "\"," + (s.cqlPort ? "\"addrs\":{\"cassandra\":\"127.0.0.1:" + std::to_string(s.cqlPort) + "\"}," : "") +
+         "\"zone\":\"a\",\"kind\":\"toy\",\"cell\":" + std::to_string(s.group) + ",\"state\":\"" +
          s.state + "\",\"weight\":1.0,\"started_ms\":" + std::to_string(s.startedMs) + ",\"access\":\"" +
          (s.primary ? "writer" : "reader") + "\"}";
 }
@@ -85,6 +86,7 @@
 void Toy::kill(int number) {
   Store& s = *stores_[static_cast<std::size_t>(number)];
   s.listener->close();
+  if (s.cqlListener) s.cqlListener->close();
   for (sched::Socket* c : s.connections) c->close();
 }
 
@@ -93,6 +95,8 @@
   s.startedMs = scheduler_.now().us / 1000;
   s.listener = std::make_unique<sched::Descriptor>(scheduler_, sched::listenOn(loopback(s.port)));
   acceptStore(number);
+  s.prepared.clear();
+  if (s.cqlPort) speakCql(number, s.cqlPort);
   changed(number);
 }
 
@@ -145,8 +149,8 @@
       std::string text(pg::takeString(rest).value_or(""));
       in.erase(0, m.whole.size());
       if (text == "SHOW usage") {
-        // A primary stands at the present; so does a toy replica.
-        double position = (scheduler_.now() - TimePoint{}).seconds();
+        // A primary stands at the present; so does a toy replica that was not told to lag.
+        double position = (positionOf(store) - TimePoint{}).seconds();
         out = row("x0=" + std::to_string(position) + ",x1=" + (store.primary ? "1" : "0") + ",inflight=0") +
               pg::message('C', std::string("SHOW\0", 5)) + pg::ready();
       } else {
@@ -171,8 +175,42 @@
   std::erase(store.connections, &s);
 }
 
+void Toy::promote(int number) {
+  for (auto& s : stores_) s->primary = false;
+  stores_[static_cast<std::size_t>(number)]->primary = true;
+  for (int k = 0; k < static_cast<int>(stores_.size()); ++k) changed(k);
+}
+
+Toy::Deed Toy::begin(int number, const std::string& id, std::string_view key, bool write, const std::string& mark,
+                     const std::string& text) {
+  constexpr Span kWindow{3'000'000};
+  Store& store = *stores_[static_cast<std::size_t>(number)];
+  Deed deed;
+  deed.key = key;
+  deed.word = wordFor(key, tries_[id]++);
+  deed.write = write;
+  deed.misplaced = write && !store.primary;
+  std::size_t digits = deed.word.find_first_of("0123456789");
+  if (digits != std::string::npos && (deed.word.starts_with("slow") || deed.word.starts_with("big"))) {
+    std::from_chars(deed.word.data() + digits, deed.word.data() + deed.word.size(), deed.number);
+    deed.word.resize(digits);
+  }
+  ++store.executions;
+  seen(number, text);
+  // What is turned away has no effect, nor has a write whose mark is known already.
+  static const std::set<std::string> kNone = {"miss", "stale", "full", "error", "away", "liar", "wrong"};
+  if (!write || deed.misplaced || kNone.contains(deed.word)) return deed;
+  if (!mark.empty()) {
+    auto [known, fresh] = marks_.try_emplace(mark, scheduler_.now());
+    if (!fresh && scheduler_.now() - known->second < kWindow) return deed;
+    known->second = scheduler_.now();
+  }
+  ++effects_[mark.empty() ? id : mark];
+  return deed;
+}
+
 // What becomes of a statement is the first word of its key: ok, miss, full, error, stale, break (after it was
-// taken), silent, half (a row cut off), garbage, long (a message without end), twice (a row too many), more
+// taken and has run), die (the whole store does, likewise), silent, half (a row cut off), garbage, long (a message without end), twice (a row too many), more
 // (a row after the answer), copy (the whole answer once more), noise (no message at all), longer (a row that
 // promises more than comes), liar (never ran, it says, and goes on with noise), wrong (the statement is at fault),
 // unread (a report that can't be read), big and a number of bytes, or slow and a number of milliseconds.
@@ -180,20 +218,17 @@
   Store& store = *stores_[static_cast<std::size_t>(number)];
   pg::Fields f;
   pg::readStatement(text, f);
-  int n = tries_[std::string(f.id)]++;
-  std::string word = wordFor(f.key, n);
-  ++store.executions;
-  seen(number, text);
-  std::string role = pg::parameter("server_role", store.primary ? "writer" : "reader");
   bool write = text.rfind("INSERT", 0) == 0;
+  Deed deed = begin(number, std::string(f.id), f.key, write, std::string(f.mark), text);
+  std::string word = deed.word;
+  std::string role = pg::parameter("server_role", store.primary ? "writer" : "reader");
   std::string out;
-  if (word.rfind("slow", 0) == 0) {
-    std::int64_t wait = 0;
-    std::from_chars(word.data() + 4, word.data() + word.size(), wait);
-    co_await sched::sleepUntil(scheduler_, scheduler_.now() + Span{wait * 1000});
+  if (word == "slow") {
+    co_await sched::sleepUntil(scheduler_, scheduler_.now() + Span{deed.number * 1000});
     word = "ok";
   }
-  if (write && !store.primary) {
+  if (word == "die") kill(number);
+  if (deed.misplaced) {
     out = pg::error(false, "25006", "this is no primary") + role + pg::ready();
   } else if (word == "miss" || word == "stale") {
     out = pg::error(false, "72000", "too far behind") + role + pg::ready();
@@ -203,7 +238,7 @@
     out = pg::error(false, "XX000", "it went wrong") + role + pg::ready();
   } else if (word == "away") {
     out = pg::error(false, "57P03", "not now") + role + pg::ready();
-  } else if (word == "break") {
+  } else if (word == "break" || word == "die") {
     co_return false;
   } else if (word == "silent") {
     while (s.open()) {
@@ -239,10 +274,8 @@
     out = row("value of unread") + pg::message('C', std::string("SELECT 1\0", 9)) +
           pg::parameter("usage", "x0=nan,x1=,=,inflight=-inf,x0=9e99") + pg::parameter("commit_clock", "1e300") +
           pg::ready();
-  } else if (word.rfind("big", 0) == 0) {
-    std::size_t size = 0;
-    std::from_chars(word.data() + 3, word.data() + word.size(), size);
-    out = row(std::string(size, 'b')) + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
+  } else if (word == "big") {
+    out = row(std::string(static_cast<std::size_t>(deed.number), 'b')) + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
   } else if (word == "twice") {
     out = row("one") + row("two") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
   } else {
--- a/example/toy.h
+++ b/example/toy.h
@@ -1,11 +1,13 @@
 // A toy to try the front with, and what its tests talk to: stores and the list of stores on loopback, written
-// from the public protocol pages. It holds no data; what it does with a statement stands in the statement.
+// from the public protocol pages, spoken to in PostgreSQL's protocol and, at a port of its own, in Cassandra's. It
+// holds no data; what it does with a statement stands in the statement, in the same words for both.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,14 @@
 
   // A store at an address of the system's choice on 127.0.0.1, or at the given port; its number.
   int addStore(bool primary, int group, std::uint16_t port = 0);
+  // Opens its port for Cassandra's protocol; the list names it from now on.
+  void speakCql(int store, std::uint16_t port = 0);
+  std::uint16_t cqlPort(int store) const { return stores_[static_cast<std::size_t>(store)]->cqlPort; }
+  // It knows none of the texts any more that were prepared there.
+  void forgetPrepared(int store) { stores_[static_cast<std::size_t>(store)]->prepared.clear(); }
+  int preparedTimes(int store) const { return stores_[static_cast<std::size_t>(store)]->preparedTimes; }
+  // How many effects there were of a write, by its mark or, without one, its id.
+  int effects(const std::string& of) const { return effects_.contains(of) ? effects_.at(of) : 0; }
   // The list of stores; returns its port.
   std::uint16_t serveList(std::uint16_t port = 0);
 
@@ -39,17 +49,25 @@
   std::string idOf(int store) const { return "toy-" + std::to_string(store); }
   int executions(int store) const;
 
+  // How far a replica's data is behind, in its reports and answers.
+  void lag(int store, Span by) { stores_[static_cast<std::size_t>(store)]->lag = by; }
+  // Names another member primary, at once.
+  void promote(int store);
+
   // Called for each statement that has arrived whole, before anything is done with it.
   std::function<void(int store, const std::string& text)> seen = [](int, const std::string&) {};
 
  private:
   struct Store {
-    std::uint16_t port = 0;
+    std::uint16_t port = 0, cqlPort = 0;
     int group = 0;
     bool primary = false, held = false;
     std::string state = "up";
     std::int64_t startedMs = 0;
-    int executions = 0;
+    int executions = 0, preparedTimes = 0;
+    Span lag;
+    std::map<std::string, std::string> prepared;  // texts, by their ids here
+    std::unique_ptr<sched::Descriptor> cqlListener;
     std::unique_ptr<sched::Descriptor> listener;
     std::vector<sched::Socket*> connections;
     std::vector<sched::Socket*> idle;
@@ -63,6 +81,24 @@
   void acceptStore(int store);
   sched::Task<> serveStore(int store, std::unique_ptr<sched::Socket> s);
   sched::Task<bool> doStatement(int store, sched::Socket& s, std::string text);
+  // What becomes of one execution, told by the words of its key.
+  struct Deed {
+    std::string word, key;
+    std::int64_t number = 0;  // behind the word
+    bool write = false, misplaced = false;  // `misplaced`: a write, and this is no primary
+  };
+  Deed begin(int store, const std::string& id, std::string_view key, bool write, const std::string& mark,
+             const std::string& text);
+  TimePoint positionOf(const Store& s) const { return scheduler_.now() - s.lag; }
+
+  struct CqlLink;
+  struct CqlAsked;
+  void acceptCql(int store);
+  sched::Task<> serveCql(int store, std::unique_ptr<sched::Socket> s);
+  sched::Task<> answerCql(int store, std::shared_ptr<CqlLink> link, CqlAsked asked);
+  sched::Task<> writeCql(std::shared_ptr<CqlLink> link);
+  bool takeCql(int store, const std::shared_ptr<CqlLink>& link, std::size_t& used);
+
   sched::Task<> serveListCall(std::unique_ptr<sched::Socket> s);
 
   sched::Scheduler& scheduler_;
@@ -72,6 +108,8 @@
   std::int64_t version_ = 1;
   std::vector<sched::Event*> watchers_;
   std::map<std::string, int> tries_;  // executions of a statement, by its id
+  std::map<std::string, int> effects_;
+  std::map<std::string, TimePoint> marks_;  // when a mark's write took effect
   std::string spoiled_;
 };
 
--- a/src/cql/text.cpp
+++ b/src/cql/text.cpp
@@ -21,7 +21,7 @@
   Token next() {
     if (!skip()) return Token::unclosed;
     if (at_ >= text_.size()) return Token::end;
-    std::size_t from = at_;
+    std::size_t from = begun = at_;
     char c = text_[at_];
     if (letter(c)) {
       while (at_ < text_.size() && (letter(text_[at_]) || digit(text_[at_]))) ++at_;
@@ -64,6 +64,7 @@
 
   std::string word;
   std::string_view literal;
+  std::size_t begun = 0;  // where the token stands
   char sign = 0;
 
  private:
@@ -142,7 +143,10 @@
     for (;;) {
       Token t = tokens_.next();
       if (t == Token::unclosed) return TextState::unclosed;
-      if (t == Token::end) break;
+      if (t == Token::end) {
+        if (naming_ && namingState_ == 1) bareName();
+        break;
+      }
       if (t == Token::sign && tokens_.sign == ';') {
         ended_ = any_ && !(r_.kind == Kind::batch || r_.kind == Kind::counter) ? true : ended_ || applied_;
         clause_ = Clause::other;
@@ -216,7 +220,7 @@
         namingState_ = 2;
         return true;
       }
-      naming_ = false;
+      bareName();
       return false;
     }
     if (!part) {
@@ -228,10 +232,17 @@
       if (namingState_ == 0 || mine_) r_.table = tokens_.word, mine_ = true;
     }
     naming_ = namingState_ == 0;
+    if (naming_)
+      nameAt_ = tokens_.begun, firstPart_ = tokens_.word;
+    else
+      mine_ = false, r_.someSystem |= systemKeyspace(firstPart_);
     namingState_ = 1;
-    if (!naming_) mine_ = false;
     return true;
   }
+  void bareName() {
+    naming_ = false;
+    if (r_.kind != Kind::use) r_.bare.push_back(nameAt_);
+  }
   void startName() {
     // A batch is told by the table that it names first.
     naming_ = true, namingState_ = 0, mine_ = false;
@@ -267,6 +278,8 @@
   TextRead& r_;
   bool any_ = false, ended_ = false, applied_ = false, deletes_ = false;
   bool naming_ = false, mine_ = false, setLeft_ = false;
+  std::size_t nameAt_ = 0;
+  std::string firstPart_;
   int namingState_ = 0;  // 0: a name comes; 1: a dot may; 2: the second part comes
   int depth_ = 0;
   Clause clause_ = Clause::other;
@@ -287,9 +300,45 @@
   return kNames[static_cast<std::size_t>(n)];
 }
 
+bool systemKeyspace(std::string_view keyspace) { return keyspace == "system" || keyspace.starts_with("system_"); }
+
+std::string qualified(std::string_view text, const std::vector<std::size_t>& bare, std::string_view keyspace) {
+  std::string name = "\"";
+  for (char c : keyspace) name += c == '"' ? "\"\"" : std::string(1, c);
+  name += "\".";
+  std::string out;
+  std::size_t from = 0;
+  for (std::size_t at : bare) {
+    out += text.substr(from, at - from);
+    out += name;
+    from = at;
+  }
+  return out += text.substr(from);
+}
+
+bool readSelection(std::string_view text, std::vector<std::string>& columns) {
+  Tokens t(text);
+  if (t.next() != Token::word || t.word != "select") return false;
+  bool comma = false, all = false;
+  for (;;) {
+    Token token = t.next();
+    if (!comma && (token == Token::word || token == Token::quoted)) {
+      if (token == Token::word && t.word == "from") return false;
+      columns.push_back(t.word);
+    } else if (!comma && token == Token::sign && t.sign == '*' && columns.empty()) {
+      all = true;
+    } else if (comma && token == Token::word && t.word == "from") {
+      return all || !columns.empty();
+    } else if (!(comma && !all && token == Token::sign && t.sign == ',')) {
+      return false;
+    }
+    comma = !comma;
+  }
+}
+
 TextState readText(std::string_view text, TextRead& into) {
   TextState state = Reading(text, into).all();
-  into.systemTable = into.keyspace == "system" || into.keyspace.starts_with("system_");
+  into.systemTable = systemKeyspace(into.keyspace);
   if (into.kind == Kind::use) into.keyspace = std::exchange(into.table, {});
   return state;
 }
--- a/src/cql/text.h
+++ b/src/cql/text.h
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace reedchute::cql {
 
@@ -28,12 +29,23 @@
   Nature nature = Nature::idempotent;
   std::string keyspace, table;  // empty where the text names none; as the protocol compares them
   bool systemTable = false;     // system, system_schema and the like
+  bool someSystem = false;    // any of its tables is one
+  std::vector<std::size_t> bare;  // where the names of tables begin that stand without a keyspace
   int markers = 0;              // ? or :name, for a text that is prepared
   std::string_view firstLiteral;  // the first quoted literal
 };
 
 enum class TextState { good, empty, several, unclosed };
 
+// `text` with the keyspace before each bare name, quoted.
+std::string qualified(std::string_view text, const std::vector<std::size_t>& bare, std::string_view keyspace);
+
+// What a SELECT asks for: the columns by name, or none where it is all of them. False where it is anything else.
+bool readSelection(std::string_view text, std::vector<std::string>& columns);
+
+// Is it one of the stores' own keyspaces?
+bool systemKeyspace(std::string_view keyspace);
+
 TextState readText(std::string_view text, TextRead& into);
 
 }  // namespace reedchute::cql
--- /dev/null
+++ b/src/doors/cql/chart.h
@@ -0,0 +1,60 @@
+// Decides which workload and group a statement of this protocol belongs to, and as what it may be repeated. No I/O,
+// no clock. Whether it is then sent, and where, is the module's alone.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/index.h"
+#include "doors/cql/given.h"
+#include "rules.h"
+#include "terms/terms.h"
+
+namespace reedchute::doors::cql {
+
+// What a statement says of itself, from its text, its parameters and its custom payload.
+struct Told {
+  reedchute::cql::Kind kind = reedchute::cql::Kind::other;
+  reedchute::cql::Nature nature = reedchute::cql::Nature::idempotent;
+  std::string_view keyspace, table;
+  std::uint16_t consistency = 0;
+  bool nextPage = false;                    // of a paged read
+  std::optional<TimePoint> pagePosition;    // what the page before it was read at
+  std::string_view workload, mark;          // empty: not told
+  std::optional<std::int64_t> group;
+};
+
+struct Placed {
+  int workload = -1, group = -1;
+  std::optional<Span> timeout;  // the mapping's
+};
+
+// Rows of the module's workloads that stand for one of the settings' with something taken off: an effect that the
+// statement's nature forbids, or a page that must be as fresh as the one before.
+class Chart {
+ public:
+  // Adds the rows to `terms`; `names` keeps only those that clients may name.
+  Chart(const Given& given, Terms& terms, const Names& names);
+
+  // Preparing a text: a read of no age at any member of the group.
+  std::optional<std::string> placePrepare(const Told& told, const Index<std::int64_t>& groups, Placed& into) const;
+
+  // Either fills `into`, or says why it can't be taken.
+  std::optional<std::string> place(const Told& told, const Index<std::int64_t>& groups, Placed& into) const;
+
+ private:
+  const Mapping* find(const Told& told) const;
+  std::optional<std::string> placeGroup(const Told& told, const Mapping* m, const Index<std::int64_t>& groups,
+                                        Placed& into) const;
+
+  std::vector<Mapping> mappings_;
+  std::vector<std::string> names_;
+  std::vector<Workload> workloads_;  // of the settings
+  std::vector<int> once_, paged_;    // by workload: its row without repeats, its row for further pages; itself if none
+  int prepare_ = -1;
+  bool storesDropMarks_;
+};
+
+}  // namespace reedchute::doors::cql
--- /dev/null
+++ b/src/doors/cql/prepared.h
@@ -0,0 +1,94 @@
+// Prepared statements: what clients know by an id of the front's, and what each store knows by ids of its own. No
+// I/O. Memory is bounded; what was used least lately goes first, and its clients are told to prepare it again.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cql/text.h"
+
+namespace reedchute::doors::cql {
+
+// One text, as stores are given it.
+struct PreparedText {
+  std::string id;  // that clients know; the same at every front, as it follows from the text
+  std::string text;  // with all names in full
+  reedchute::cql::TextRead read;
+  std::string told[2];  // the body of RESULT that clients get, with `id` in it, by version; empty: not known yet
+  std::string resultId;  // of version 5, as told
+};
+
+using PreparedRef = std::shared_ptr<PreparedText>;
+
+// The id of a text: 16 bytes of a hash.
+std::string preparedId(std::string_view text);
+
+class PreparedTexts {
+ public:
+  explicit PreparedTexts(std::size_t mostBytes) : most_(mostBytes) {}
+
+  PreparedRef find(std::string_view id);  // none: not known, or forgotten
+  // Keeps a text; known already, it is that one. Others may be forgotten for it.
+  PreparedRef keep(PreparedText text);
+  // What clients were told of columns may be wrong from now on.
+  void schemaChanged();
+  std::size_t size() const { return byId_.size(); }
+  std::size_t bytes() const { return bytes_; }
+  // Counts its size anew, as what clients are told of it came.
+  void grew(const PreparedRef& p, std::size_t before);
+  static std::size_t costOf(const PreparedText& t);
+
+ private:
+  void makeRoom(const PreparedRef& not_);
+
+  std::size_t most_, bytes_ = 0;
+  std::list<PreparedRef> byUse_;  // the one used last in front
+  std::unordered_map<std::string_view, std::list<PreparedRef>::iterator> byId_;
+};
+
+// What one store has prepared, by the front's ids; bounded by their number.
+class StorePrepared {
+ public:
+  struct Known {
+    std::string id, resultId;
+  };
+  explicit StorePrepared(std::size_t most = 0) : most_(most) {}
+
+  const Known* find(const std::string& id);
+  void learn(const std::string& id, Known known);
+  void forget(const std::string& id);
+  void forgetAll() { byId_.clear(), byUse_.clear(); }
+  std::size_t size() const { return byId_.size(); }
+
+ private:
+  struct Place {
+    std::string id;
+    Known known;
+  };
+  std::size_t most_;
+  std::list<Place> byUse_;
+  std::unordered_map<std::string, std::list<Place>::iterator> byId_;
+};
+
+// How many texts may be in preparation at a store at once. Danger: a store that comes back knows none of them, and
+// all that are in use would be prepared there in one moment, while it is cold.
+class PreparePace {
+ public:
+  // `most`: that may ever be; grown to by one, cut by half.
+  explicit PreparePace(double most) : most_(most) {}
+  bool mayBegin() const { return out_ < static_cast<int>(limit_); }
+  void begins() { ++out_; }
+  void ends(bool well);
+  double limit() const { return limit_; }
+
+ private:
+  double most_, limit_ = 1;
+  int out_ = 0;
+};
+
+}  // namespace reedchute::doors::cql
--- /dev/null
+++ b/src/doors/cql/system.h
@@ -0,0 +1,27 @@
+// The tables by which a driver learns of its cluster, answered by the front: it and the configured fronts are the
+// cluster. No I/O.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cql/text.h"
+#include "doors/cql/given.h"
+
+namespace reedchute::doors::cql {
+
+class SystemTables {
+ public:
+  explicit SystemTables(const Given& given) : given_(given) {}
+
+  // The body of a RESULT, or nothing and `why`.
+  std::optional<std::string> answer(const reedchute::cql::TextRead& read, std::string_view text,
+                                    std::string_view& why) const;
+  bool knowsKeyspace(std::string_view keyspace) const;
+
+ private:
+  const Given& given_;
+};
+
+}  // namespace reedchute::doors::cql
--- /dev/null
+++ b/src/doors/cql/take_in.h
@@ -0,0 +1,85 @@
+// Stage 1, take in, for the Cassandra protocol: from a frame to what the module is told of it, to an answer that is
+// ready at once, or to what is wrong with it. No I/O.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cql/reply.h"
+#include "cql/request.h"
+#include "doors/cql/chart.h"
+#include "doors/cql/page.h"
+#include "doors/cql/prepared.h"
+#include "doors/cql/system.h"
+#include "exchange/exchange.h"
+
+namespace reedchute::doors::cql {
+
+// A statement's body as it came, and the places where an execution puts something else.
+struct Statement : exchange::Request {
+  enum class Put { wait, id, bytes };
+  struct Patch {
+    std::size_t at = 0, span = 0;
+    Put put = Put::bytes;
+    PreparedRef text;   // whose id at the store
+    std::string bytes;  // or these
+  };
+  std::size_t size() const override { return body.size(); }
+
+  reedchute::cql::Opcode opcode = reedchute::cql::Opcode::query;
+  std::uint8_t flags = 0;
+  std::string body;
+  std::vector<Patch> patches;      // in the order of their places
+  std::string preparedId;          // of a PREPARE: what clients will know it by
+  std::vector<PreparedRef> needs;  // that a store must have prepared first, each once
+};
+
+// The body for one store. `ids`: that of each of `needs` there.
+std::string worded(const Statement& s, std::int64_t leftMs, const std::vector<std::string>& ids);
+
+// What a session must know of a statement until its answer.
+struct Pending {
+  reedchute::cql::Kind kind = reedchute::cql::Kind::other;
+  std::uint8_t batchType = 0;
+  std::uint16_t consistency = 0;
+  std::optional<PreparedText> preparing;  // of a PREPARE
+};
+
+// What a frame came to: a statement, or a whole answer.
+struct Outcome {
+  std::optional<exchange::Taken> taken;
+  Pending pending;
+  reedchute::cql::Opcode opcode = reedchute::cql::Opcode::error;
+  std::string body;           // of the answer
+  std::string useKeyspace;    // the session's from now on; empty: as it was
+};
+
+class TakeIn {
+ public:
+  TakeIn(const Given& given, const Names& names, const Index<std::int64_t>& groups, const exchange::OpenIds& openIds,
+         const Chart& chart, PreparedTexts& texts)
+      : given_(given), names_(names), groups_(groups), openIds_(openIds), chart_(chart), texts_(texts), system_(given) {}
+
+  Outcome read(const reedchute::cql::Frame& f, const std::string& keyspace, TimePoint now) const;
+
+ private:
+  struct Reading;
+  void readOne(Reading& r, std::string_view text, std::size_t at, std::string_view keyspace, Statement& into) const;
+  void query(Reading& r) const;
+  void prepare(Reading& r) const;
+  void execute(Reading& r) const;
+  void batch(Reading& r) const;
+  void payload(Reading& r) const;
+  void finish(Reading& r) const;
+
+  const Given& given_;
+  const Names& names_;
+  const Index<std::int64_t>& groups_;
+  const exchange::OpenIds& openIds_;
+  const Chart& chart_;
+  PreparedTexts& texts_;
+  const SystemTables system_;
+};
+
+}  // namespace reedchute::doors::cql
--- /dev/null
+++ b/src/doors/cql/talk.cpp
@@ -0,0 +1,310 @@
+#include "doors/cql/talk.h"
+
+#include <map>
+#include <utility>
+
+#include "cql/framing.h"
+#include "cql/reply.h"
+#include "log/log.h"
+
+namespace reedchute::doors::cql {
+
+namespace cql = reedchute::cql;
+using cql::Frame;
+using cql::Framed;
+using cql::Opcode;
+
+namespace {
+
+constexpr const char* kAuthenticator = "org.apache.cassandra.auth.PasswordAuthenticator";
+
+// Takes as long whatever differs.
+bool sameSecret(std::string_view a, std::string_view b) {
+  unsigned differs = a.size() != b.size();
+  for (std::size_t k = 0; k < a.size(); ++k)
+    differs |= static_cast<unsigned>(static_cast<unsigned char>(a[k]) ^
+                                     static_cast<unsigned char>(b.empty() ? '\0' : b[k % b.size()]));
+  return differs == 0;
+}
+
+const char* writeTypeOf(const Pending& p) {
+  switch (p.kind) {
+    case cql::Kind::conditional:
+      return "CAS";
+    case cql::Kind::counter:
+      return "COUNTER";
+    case cql::Kind::batch:
+      return p.batchType == 1 ? "UNLOGGED_BATCH" : "BATCH";
+    default:
+      return "SIMPLE";
+  }
+}
+
+}  // namespace
+
+class Session : public peers::Talk, public exchange::Asker {
+ public:
+  Session(Door& door, peers::Line& line) : door_(door), line_(line), framing_(door.given.mostBody) {}
+  ~Session() override { std::erase(door_.listening, this); }
+
+  bool greeted() const override { return state_ == State::ready; }
+  std::size_t owed() const override { return open_.size(); }
+  bool full() const override { return open_.size() >= door_.given.streams; }
+
+  void left() override {
+    // Its statements end one by one, and none is answered any more.
+    for (auto open = std::exchange(open_, {}); auto& [stream, one] : open)
+      if (one.stmt >= 0) door_.desk.left(one.stmt);
+  }
+
+  bool take(std::string_view bytes, std::size_t& used) override {
+    if (state_ == State::fresh && !versionMayBe(bytes)) return true;
+    Frame f;
+    Framed got = framing_.next(bytes, used, f);
+    if (got == Framed::partial) return false;
+    if (got == Framed::bad) {
+      log::line("client_garbled", "what=\"%s\"", framing_.why());
+      endWith(0, cql::kProtocolError, framing_.why());
+      return true;
+    }
+    if (f.answer || !cql::askable(f.opcode)) {
+      log::line("client_garbled", "what=opcode");
+      endWith(f.stream, cql::kProtocolError, "no request that is known");
+    } else if (state_ != State::fresh && f.version != version_) {
+      endWith(f.stream, cql::kProtocolError, "another version than the connection began with");
+    } else if (f.stream < 0) {
+      endWith(f.stream, cql::kProtocolError, "a negative stream");
+    } else if (open_.contains(f.stream)) {
+      // Danger: an answer on this stream could be taken for either statement's.
+      log::line("client_garbled", "what=stream");
+      endWith(f.stream, cql::kProtocolError, "a stream that is still open");
+    } else {
+      handle(f);
+    }
+    return true;
+  }
+
+  void part(peers::Parting why) override {
+    switch (why) {
+      case peers::Parting::fullHouse:
+        return endWith(0, cql::kOverloaded, "too many clients");
+      case peers::Parting::noMemory:
+        return endWith(0, cql::kOverloaded, "no memory is left for so long a message");
+      case peers::Parting::noStartup:
+        return endWith(0, cql::kProtocolError, "no STARTUP in time");
+      case peers::Parting::unfinished:
+        return endWith(0, cql::kProtocolError, "a message that was not finished in time");
+    }
+  }
+
+  void completed(int ticket, exchange::Answer answer, int by, std::optional<TimePoint> position) override {
+    Pending pending = close(ticket);
+    auto flags = static_cast<std::uint8_t>(answer.form >> 8);
+    auto opcode = static_cast<Opcode>(answer.form & 0xff);
+    if (opcode == Opcode::result) answer.bytes = rewritten(flags, std::move(answer.bytes), pending, by, position);
+    put(flags, ticket, opcode, answer.bytes);
+  }
+
+  void rejected(int ticket, Span comeBack) override {
+    close(ticket);
+    std::string body;
+    if (comeBack > Span{}) cql::addBytesMap(body, {{"retry_after_ms", std::to_string(comeBack.us / 1000)}});
+    body += cql::errorBody(cql::kOverloaded, "rejected: trying again does no harm");
+    put(comeBack > Span{} ? cql::kPayload : 0, ticket, Opcode::error, body);
+  }
+
+  // Danger: Overloaded and Unavailable tell a client that trying again is harmless, and here it may not be. A write's
+  // time-out, of whatever type, promises nothing.
+  void aborted(int ticket) override {
+    Pending p = close(ticket);
+    bool read = p.kind == cql::Kind::read || p.preparing;
+    std::string body = cql::errorBody(read ? cql::kReadTimeout : cql::kWriteTimeout, "aborted: it may have run");
+    cql::addShort(body, p.consistency);
+    cql::addInt(body, 0), cql::addInt(body, 1);
+    if (read)
+      cql::addByte(body, 0);
+    else
+      cql::addString(body, writeTypeOf(p));
+    if (!read && version_ >= 5 && p.kind == cql::Kind::conditional) cql::addShort(body, 0);
+    put(0, ticket, Opcode::error, body);
+  }
+
+  void tellDown() {
+    const sockaddr_in& here = door_.given.listen;
+    put(0, -1, Opcode::event, cql::statusEvent("DOWN", here.sin_addr.s_addr, ntohs(here.sin_port)));
+  }
+
+ private:
+  enum class State { fresh, asked, ready };  // `asked`: for its password
+  struct Open {
+    int stmt = -1;
+    Pending pending;
+  };
+
+  void put(std::uint8_t flags, int stream, Opcode o, std::string_view body) {
+    std::string bytes;
+    framing_.put(bytes, true, version_, flags, static_cast<std::int16_t>(stream), o, body);
+    line_.say(std::move(bytes));
+  }
+  void endWith(int stream, std::int32_t code, std::string_view text) {
+    put(0, stream, Opcode::error, cql::errorBody(code, text));
+    line_.end();
+  }
+
+  // A driver that begins with another version is told the highest one, in that version, and comes again with it.
+  bool versionMayBe(std::string_view bytes) {
+    if (bytes.empty()) return true;
+    int version = bytes[0] & 0x7f;
+    int highest = door_.given.v5 ? 5 : 4;
+    if (version >= cql::kLowest && version <= highest) return true;
+    if (bytes.size() < cql::kHeader && version >= 3) return true;  // its stream is to come
+    Frame f;
+    cql::frame(bytes, SIZE_MAX, f);
+    version_ = highest;
+    log::line("client_version", "version=%d", version);
+    endWith(version >= 3 ? f.stream : 0, cql::kProtocolError,
+            "Invalid or unsupported protocol version (" + std::to_string(version) + "); supported versions are (" +
+                (highest == 5 ? "4/v4, 5/v5" : "4/v4") + ")");
+    return false;
+  }
+
+  void handle(const Frame& f) {
+    if (state_ == State::fresh) version_ = f.version;
+    switch (f.opcode) {
+      case Opcode::options:
+        return put(0, f.stream, Opcode::supported,
+                   cql::multimapBody({{"CQL_VERSION", {"3.4.5"}},
+                                      {"COMPRESSION", {"lz4"}},
+                                      {"PROTOCOL_VERSIONS", door_.given.v5 ? std::vector<std::string>{"4/v4", "5/v5"}
+                                                                           : std::vector<std::string>{"4/v4"}}}));
+      case Opcode::startup:
+        return start(f);
+      case Opcode::authResponse:
+        return authenticate(f);
+      default:
+        break;
+    }
+    if (state_ != State::ready) return endWith(f.stream, cql::kProtocolError, "STARTUP comes first");
+    if (f.opcode == Opcode::reg) return listen(f);
+    ask(f);
+  }
+
+  void start(const Frame& f) {
+    cql::Start s;
+    if (state_ != State::fresh) return endWith(f.stream, cql::kProtocolError, "a second STARTUP");
+    if (!cql::readStart(f.body, s)) return endWith(f.stream, cql::kProtocolError, "a STARTUP that can't be read");
+    if (!s.compression.empty() && s.compression != "lz4")
+      return endWith(f.stream, cql::kProtocolError, "a compression that isn't offered");
+    bool asks = !door_.given.user.empty();
+    std::string body;
+    if (asks) cql::addString(body, kAuthenticator);
+    put(0, f.stream, asks ? Opcode::authenticate : Opcode::ready, body);
+    state_ = asks ? State::asked : State::ready;
+    if (!s.compression.empty()) framing_.compress();
+    if (version_ >= 5) framing_.segments();
+  }
+
+  void authenticate(const Frame& f) {
+    if (state_ != State::asked) return endWith(f.stream, cql::kProtocolError, "nobody asked for a password");
+    cql::Cursor c(f.body);
+    std::string_view token = c.bytes().value_or(std::string_view{});
+    // SASL PLAIN: an identity to act for, the user and the password, set apart by zero bytes.
+    std::size_t first = token.find('\0');
+    std::size_t second = first == std::string_view::npos ? first : token.find('\0', first + 1);
+    bool good = c.ended() && second != std::string_view::npos;
+    std::string_view user = good ? token.substr(first + 1, second - first - 1) : std::string_view{};
+    std::string_view password = good ? token.substr(second + 1) : std::string_view{};
+    bool same = sameSecret(user, door_.given.user) & sameSecret(password, door_.given.password);
+    if (!good || !same) {
+      log::line("client_refused", "what=password");
+      return endWith(f.stream, cql::kBadCredentials, "user or password are not those set up here");
+    }
+    std::string body;
+    cql::addInt(body, -1);
+    put(0, f.stream, Opcode::authSuccess, body);
+    state_ = State::ready;
+  }
+
+  void listen(const Frame& f) {
+    std::vector<std::string_view> events;
+    if (!cql::readRegister(f.body, events))
+      return put(0, f.stream, Opcode::error, cql::errorBody(cql::kProtocolError, "a REGISTER that can't be read"));
+    bool status = false;
+    for (std::string_view e : events) {
+      if (e != "TOPOLOGY_CHANGE" && e != "STATUS_CHANGE" && e != "SCHEMA_CHANGE")
+        return put(0, f.stream, Opcode::error, cql::errorBody(cql::kProtocolError, "an event that isn't known"));
+      status |= e == "STATUS_CHANGE";
+    }
+    if (status && std::find(door_.listening.begin(), door_.listening.end(), this) == door_.listening.end())
+      door_.listening.push_back(this);
+    put(0, f.stream, Opcode::ready, {});
+  }
+
+  void ask(const Frame& f) {
+    Outcome o = door_.takeIn.read(f, keyspace_, door_.scheduler.now());
+    if (!o.useKeyspace.empty()) keyspace_ = o.useKeyspace;
+    if (!o.taken) return put(0, f.stream, o.opcode, o.body);
+    o.taken->speech = door_.speeches[version_ - cql::kLowest];
+    // It may be answered at once, before its index is known.
+    open_[f.stream].pending = std::move(o.pending);
+    int stmt = door_.desk.admit(std::move(*o.taken), *this, f.stream);
+    if (auto it = open_.find(f.stream); stmt >= 0 && it != open_.end()) it->second.stmt = stmt;
+  }
+
+  Pending close(int ticket) {
+    auto it = open_.find(ticket);
+    Pending p = std::move(it->second.pending);
+    open_.erase(it);
+    return p;
+  }
+
+  // What the client is to see otherwise: a paging state of the front's, an id of the front's.
+  std::string rewritten(std::uint8_t flags, std::string bytes, Pending& pending, int by,
+                        std::optional<TimePoint> position) {
+    Frame f;
+    f.version = version_, f.flags = flags, f.opcode = Opcode::result, f.body = bytes;
+    cql::Reply r;
+    if (!cql::readReply(f, r)) return bytes;  // it was read before: can't be
+    auto with = [&](std::size_t at, std::size_t span, const std::string& put) {
+      return bytes.substr(0, at) + put + bytes.substr(at + span);
+    };
+    if (r.kind == cql::ResultKind::rows && r.pageState) {
+      std::string put;
+      cql::addBytes(put, wrapped({storeMark(door_.fleet.storeId(by)), position, std::string(*r.pageState)}));
+      return with(r.pageAt, r.pageSpan, put);
+    }
+    if (r.kind == cql::ResultKind::schemaChange) door_.texts.schemaChanged();
+    if (r.kind == cql::ResultKind::prepared && pending.preparing) {
+      std::string put;
+      cql::addShortBytes(put, pending.preparing->id);
+      std::string whole = with(r.idAt, 2 + r.id.size(), put);
+      PreparedRef p = door_.texts.keep(std::move(*pending.preparing));
+      std::size_t before = PreparedTexts::costOf(*p);
+      if (p->read.table.empty()) p->read.keyspace = r.keyspace, p->read.table = r.table;
+      p->told[version_ - cql::kLowest] = whole.substr(r.bodyAt);
+      door_.texts.grew(p, before);
+      return whole;
+    }
+    return bytes;
+  }
+
+  Door& door_;
+  peers::Line& line_;
+  cql::Framing framing_;
+  State state_ = State::fresh;
+  int version_ = cql::kLowest;
+  std::string keyspace_;
+  std::map<int, Open> open_;  // by stream
+};
+
+std::unique_ptr<peers::Talk> Door::talk(peers::Line& line) { return std::make_unique<Session>(*this, line); }
+
+std::size_t Door::mostMessage() const {
+  return std::max(given.mostBody + cql::kHeader, cql::kMostSegment + 16);
+}
+
+void Door::leaving() {
+  for (Session* s : listening) s->tellDown();
+}
+
+}  // namespace reedchute::doors::cql
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -32,11 +32,24 @@
           g.memory / kAnswerPart};
 }
 
-peers::Clients::Limits clientLimits(const Given& g) {
-  std::size_t rest = g.sockets - kReserve;
+// `part`: of all places for clients, that one protocol's have.
+peers::Clients::Limits clientLimits(const Given& g, std::size_t places, std::size_t part) {
   Span unit = g.terms.connectTimeout;
-  return {rest - rest / kStorePart, unit, g.keepalive, unit * kGrace, unit * kSilence, unit * kIdle,
-          g.sockets / kIdlePart, g.memory / kClientPart};
+  auto share = [&](std::size_t of) { return part == places ? of : std::max<std::size_t>(1, of * part / places); };
+  return {part, unit, g.keepalive, unit * kGrace, unit * kSilence, unit * kIdle, share(g.sockets / kIdlePart),
+          share(g.memory / kClientPart)};
+}
+
+std::size_t clientPlaces(const Given& g) {
+  std::size_t rest = g.sockets - kReserve;
+  return rest - rest / kStorePart;
+}
+
+exchange::Speech probeSpeech(const std::vector<std::unique_ptr<Protocol>>& protocols) {
+  exchange::Speech speech = 0;
+  for (const auto& p : protocols)
+    if (p->probes()) speech = p->speeches().front();
+  return speech;
 }
 
 sigset_t taken() {
@@ -68,23 +81,34 @@
       rules_(given_.terms, scheduler_.now()),
       book_(scheduler_, rules_, relay_),
       stores_(scheduler_, book_, storeLimits(given_)),
-      send_(scheduler_, book_, stores_, given_.terms.connectTimeout, 0),
+      protocols_(protocolsOf(given_, {scheduler_, *this, stores_, storeIds_, groups_, book_.openIds()})),
+      send_(scheduler_, book_, stores_, given_.terms.connectTimeout, probeSpeech(protocols_)),
       route_(scheduler_, rules_, book_, send_, relay_, stores_),
       admit_(rules_, book_),
-      speech_(stores_.add(voice_)),
-      door_(scheduler_, *this, doors::pg::TakeIn(given_.names, groups_, book_.openIds()), speech_),
-      clients_(scheduler_, door_, clientLimits(given_)),
       list_(scheduler_, *this, given_.discovery, given_.discoveryHost,
             {given_.terms.askEvery, given_.terms.connectTimeout, given_.terms.mustAsk},
             given_.memory / kListPart),
       told_(scheduler_) {
   route_.list(&list_);
+  std::size_t places = clientPlaces(given_), reserved = 0;
+  for (const auto& p : protocols_) reserved += p->connections();
+  if (reserved * 2 > places) throw Malformed("the doors' connections need more than half of the places for clients");
+  for (const auto& p : protocols_)
+    clients_.push_back(std::make_unique<peers::Clients>(
+        scheduler_, p->door(),
+        clientLimits(given_, places, p->connections() > 0 ? p->connections() : places - reserved)));
+}
+
+std::size_t Front::sessions() const {
+  std::size_t all = 0;
+  for (const auto& c : clients_) all += c->sessions();
+  return all;
 }
 
 void Front::enter(Phase p) {
   phase_ = p;
   log::line("phase", "name=%s phase=%s open=%zu sessions=%zu", given_.name.c_str(), nameOf(p),
-            book_.openCount(), clients_.sessions());
+            book_.openCount(), sessions());
 }
 
 void Front::holdSignals() {
@@ -103,7 +127,14 @@
   scheduler_.spawn(leave());
   scheduler_.spawn(tally());
   scheduler_.spawn(sweep());
-  log::line("listening", "port=%d", clients_.listen(given_.listen));
+  for (std::size_t k = 0; k < clients_.size(); ++k) {
+    int port = clients_[k]->listen(protocols_[k]->listen());
+    protocols_[k]->listening(port);
+    if (k == 0)
+      log::line("listening", "port=%d", port);
+    else
+      log::line("listening_too", "protocol=%s port=%d", protocols_[k]->name(), port);
+  }
   enter(Phase::serving);
   scheduler_.run([this] { route_.round(); });
   enter(Phase::ended);
@@ -144,13 +175,13 @@
 sched::Task<> Front::leave() {
   co_await told_.wait();
   enter(Phase::leaving);
+  for (const auto& p : protocols_) p->leaving();
   TimePoint until = scheduler_.now() + kStillComing;
   while (scheduler_.now() < until) co_await told_.wait(until);
   enter(Phase::closing);
-  clients_.stopListening();
-  clients_.sendAway();
+  for (const auto& c : clients_) c->stopListening(), c->sendAway();
   // Danger: exit while an answer is still being written would cut it off.
-  while (clients_.sessions() > 0) co_await told_.wait(scheduler_.now() + given_.terms.tick);
+  while (sessions() > 0) co_await told_.wait(scheduler_.now() + given_.terms.tick);
   scheduler_.stop();
 }
 
@@ -165,7 +196,7 @@
   for (;;) {
     co_await sched::sleepUntil(scheduler_, scheduler_.now() + kTallyEvery);
     log::line("tally", "taken=%llu open=%zu sessions=%zu store_connections=%zu stores=%zu gone=%zu",
-              static_cast<unsigned long long>(taken_), book_.openCount(), clients_.sessions(),
+              static_cast<unsigned long long>(taken_), book_.openCount(), sessions(),
               stores_.connections(), storeIds_.size(), gone_.size());
     log::flushCounts();
   }
@@ -216,7 +247,9 @@
     e.primary = m.primary;
     e.weight = m.weight;
     if (m.startedMs > 0) e.started = TimePoint{m.startedMs * 1000};
-    stores_.place(e.store, speech_, m.address);
+    for (const auto& p : protocols_)
+      if (auto address = p->addressOf(m))
+        for (exchange::Speech speech : p->speeches()) stores_.place(e.store, speech, *address);
     rules_.entry(e, now);
     const char* state = m.listed == Listed::up ? "up" : m.listed == Listed::draining ? "draining" : "gone";
     log::line("member", "store=%d id=%s group=%lld state=%s primary=%d started_ms=%lld", e.store,
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -7,9 +7,8 @@
 #include <optional>
 
 #include "base/index.h"
-#include "doors/pg/carrier.h"
-#include "doors/pg/talk.h"
 #include "front/given.h"
+#include "front/protocols.h"
 #include "peers/clients.h"
 #include "peers/list.h"
 #include "peers/stores.h"
@@ -49,6 +48,7 @@
 
  private:
   void enter(Phase p);
+  std::size_t sessions() const;
   void tellList(const peers::Roster& roster, bool asked);
   void forgetGone();
   sched::Task<> watchSignals(int fd);
@@ -67,13 +67,11 @@
   stages::Relay relay_;
   stages::Book book_;
   peers::Stores stores_;
+  std::vector<std::unique_ptr<Protocol>> protocols_;
   stages::Send send_;
   stages::Route route_;
   stages::Admit admit_;
-  doors::pg::Voice voice_;
-  exchange::Speech speech_;
-  doors::pg::Door door_;
-  peers::Clients clients_;
+  std::vector<std::unique_ptr<peers::Clients>> clients_;  // by protocol
   peers::List list_;
   sched::Event told_;  // a signal to end has come
   std::uint64_t taken_ = 0;
--- a/src/front/given.cpp
+++ b/src/front/given.cpp
@@ -8,6 +8,8 @@
 #include <iterator>
 
 #include "base/number.h"
+#include "doors/cql/settings.h"
+#include "hcl/settings.h"
 
 namespace reedchute::front {
 namespace {
@@ -37,6 +39,20 @@
   return g;
 }
 
+void addSettings(Given& g, const std::string& path) {
+  hcl::Block file = hcl::readFile(path);
+  hcl::Section all(path, file);
+  std::vector<hcl::Section> doors = all.blocks("cassandra");
+  all.done();
+  if (doors.size() > 1) all.fail("cassandra", "stands twice");
+  if (doors.empty()) return;
+  g.cassandra = doors::cql::givenFrom(doors.front());
+  for (const doors::cql::Mapping& m : g.cassandra->mappings)
+    if (placeOf(g.names.workloads, m.workload) < 0)
+      all.fail("cassandra", "maps to the workload '" + m.workload + "', which the platform's settings don't have");
+  g.chart.emplace(*g.cassandra, g.terms, g.names);
+}
+
 std::vector<const char*> changedForRestart(const Given& a, const Given& b) {
   std::vector<const char*> fields;
   if (a.name != b.name) fields.push_back("name");
--- a/src/front/given.h
+++ b/src/front/given.h
@@ -2,9 +2,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "doors/cql/chart.h"
+#include "doors/cql/given.h"
 #include "peers/list.h"
 #include "rules.h"
 #include "terms/terms.h"
@@ -23,12 +26,18 @@
   Names names;
   Terms terms;
   Span keepalive;
+  // From our own settings, where there are any.
+  std::optional<doors::cql::Given> cassandra;
+  std::optional<doors::cql::Chart> chart;
 };
 
 // Reads the file at `path`; throws Malformed with one plain line where it is missing or makes no sense.
 Given readGiven(const char* path);
 Given givenFrom(const std::string& text);
 
+// Adds what our own settings say, from a file in HCL; throws Malformed with file and line.
+void addSettings(Given& given, const std::string& path);
+
 // The fields in which they differ and which only a restart takes up.
 std::vector<const char*> changedForRestart(const Given& a, const Given& b);
 
--- a/src/front/main.cpp
+++ b/src/front/main.cpp
@@ -1,4 +1,6 @@
-// reedchute: the front on sockets. All that it is told comes from the file that LB_CONFIG names.
+// reedchute: the front on sockets. What it is told comes from the file that LB_CONFIG names, and from our own settings
+// where --settings names a file of them.
+#include <CLI/CLI.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -6,12 +8,18 @@
 #include "front/front.h"
 #include "log/log.h"
 
-int main() {
+int main(int argc, char** argv) {
+  CLI::App app("A proxy before a primary and its replicas.", "reedchute");
+  std::string settings;
+  app.add_option("--settings", settings, "our own settings, in HCL (docs/cql-operators.md)");
+  CLI11_PARSE(app, argc, argv);
   // Danger: a signal that comes before the front takes it over would end the program.
   reedchute::front::Front::holdSignals();
   reedchute::log::neverBlock();
   try {
-    reedchute::front::Front front(reedchute::front::readGiven(std::getenv("LB_CONFIG")));
+    reedchute::front::Given given = reedchute::front::readGiven(std::getenv("LB_CONFIG"));
+    if (!settings.empty()) reedchute::front::addSettings(given, settings);
+    reedchute::front::Front front(std::move(given));
     front.run();
   } catch (const std::exception& e) {
     std::fprintf(stderr, "reedchute: %s\n", e.what());
--- a/src/peers/list.cpp
+++ b/src/peers/list.cpp
@@ -40,6 +40,13 @@
   auto parsed = sched::parseAddress(address);
   if (!parsed) return "an address that can't be read";
   m.address = *parsed;
+  // Not on the platform: where the store is spoken to in other protocols.
+  if (const json::Value* others = v.find("addrs"))
+    for (const auto& [protocol, where] : others->members) {
+      auto other = sched::parseAddress(where.text);
+      if (!other) return "an address that can't be read";
+      m.others.emplace_back(protocol, *other);
+    }
   if (!number("cell", group) || group < INT32_MIN || group > INT32_MAX) return "an entry without a group";
   m.group = static_cast<std::int64_t>(group);
   text("zone", m.zone);
--- a/src/peers/list.h
+++ b/src/peers/list.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "json/json.h"
@@ -16,6 +17,7 @@
 struct Member {
   std::string id, zone;
   sockaddr_in address{};
+  std::vector<std::pair<std::string, sockaddr_in>> others;  // where it is spoken to in other protocols, by name
   std::int64_t group = 0;
   Listed listed = Listed::up;
   bool primary = false;
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -157,7 +157,10 @@
   return nullptr;
 }
 
-void Stores::ready(Carrier& c) { poolOf(c).ready.push_back(&c); }
+void Stores::ready(Carrier& c) {
+  std::vector<Carrier*>& ready = poolOf(c).ready;
+  if (std::find(ready.begin(), ready.end(), &c) == ready.end()) ready.push_back(&c);
+}
 
 void Stores::unready(Carrier& c) { std::erase(poolOf(c).ready, &c); }
 
--- /dev/null
+++ b/tests/cql_client.h
@@ -0,0 +1,232 @@
+// A client of the Cassandra protocol for tests: speaks to a front's door, and says in words what came.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "cql/framing.h"
+#include "cql/reply.h"
+#include "cql/request.h"
+#include "drive.h"
+
+namespace reedchute::test {
+
+class CqlClient {
+ public:
+  struct Got {
+    cql::Opcode opcode = cql::Opcode::error;
+    std::uint8_t flags = 0;
+    std::string body;
+  };
+
+  explicit CqlClient(Drive& drive, int version_ = 4, bool compress = false, bool start = true)
+      : d(drive), version(version_), framing(4 << 20) {
+    sockaddr_in a = *sched::parseAddress("127.0.0.1:" + std::to_string(d.cqlPort));
+    socket = std::make_unique<sched::Socket>(d.s, sched::startConnect(a));
+    d.until("connected", [&] {
+      sockaddr_in peer{};
+      socklen_t size = sizeof peer;
+      return getpeername(socket->fd(), reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+    });
+    if (!start) return;
+    std::string body;
+    cql::addShort(body, compress ? 2 : 1);
+    cql::addString(body, "CQL_VERSION"), cql::addString(body, "3.4.5");
+    if (compress) cql::addString(body, "COMPRESSION"), cql::addString(body, "lz4");
+    send(0, cql::Opcode::startup, body);
+    started = answer(0);
+    if (compress) framing.compress();
+    if (version >= 5) framing.segments();
+  }
+
+  void raw(std::string_view bytes) {
+    while (!bytes.empty()) {
+      auto rest = socket->write(bytes);
+      if (!rest) return;
+      bytes = *rest;
+      if (!bytes.empty()) d.pass(1);
+    }
+  }
+  void send(int stream, cql::Opcode o, std::string_view body, std::uint8_t flags = 0) {
+    std::string bytes;
+    framing.put(bytes, false, version, flags, static_cast<std::int16_t>(stream), o, body);
+    raw(bytes);
+  }
+
+  // Reads what has come.
+  void read() {
+    ended = ended || socket->read(in, 8 << 20) == sched::Socket::Got::ended;
+    for (;;) {
+      cql::Frame f;
+      std::size_t used = 0;
+      cql::Framed got = framing.next(in, used, f);
+      if (got == cql::Framed::whole) {
+        if (answers.contains(f.stream)) std::printf("stream %d is answered twice\n", f.stream);
+        answers[f.stream] = {f.opcode, f.flags, std::string(f.body)};
+      }
+      in.erase(0, used);
+      if (got != cql::Framed::whole) break;
+    }
+  }
+  Got take(int stream) {
+    Got got = std::move(answers[stream]);
+    answers.erase(stream);
+    return got;
+  }
+  // Waits for a stream's answer; what it says.
+  std::string answer(int stream) {
+    d.until("an answer", [&] {
+      read();
+      return ended || answers.contains(stream);
+    });
+    if (!answers.contains(stream)) return "closed";
+    last = take(stream);
+    return words(last) + (ended ? ", closed" : "");
+  }
+
+  std::string words(const Got& got) {
+    cql::Frame f;
+    f.version = version, f.flags = got.flags, f.opcode = got.opcode, f.body = got.body;
+    reply = {};
+    if (!cql::readReply(f, reply)) return "unreadable";
+    if (got.opcode == cql::Opcode::error) {
+      char code[8];
+      std::snprintf(code, sizeof code, "%04x", static_cast<unsigned>(reply.code));
+      std::string told = std::string("ERROR ") + code;
+      if (!reply.writeType.empty()) told += " " + std::string(reply.writeType);
+      std::string_view back = cql::valueOf(reply.payload, "retry_after_ms");
+      return told + (back.empty() ? "" : ", come back after " + std::string(back));
+    }
+    if (got.opcode != cql::Opcode::result) return cql::nameOf(got.opcode);
+    if (reply.kind == cql::ResultKind::prepared) return "prepared, markers " + std::to_string(reply.markers);
+    if (reply.kind == cql::ResultKind::setKeyspace) return "keyspace " + std::string(reply.keyspace);
+    if (reply.kind != cql::ResultKind::rows) return "done";
+    std::string told = std::to_string(reply.rows) + " rows";
+    if (reply.rows == 1 && reply.columns == 1) {
+      std::string value = got.body.substr(got.body.rfind("payload") + 7 + 2 + 4 + 4);
+      told = "row '" + value.substr(0, 40) + "'";
+    }
+    return told + (reply.pageState ? ", more pages" : "");
+  }
+
+  struct Extra {
+    const char* workload = "any";
+    std::string mark{};
+    int waitMs = 3000;
+    int pageSize = 0;
+    std::string page{};
+    std::uint16_t consistency = 1;
+    bool payload = true;
+  };
+  std::string payload(const Extra& x) {
+    std::string id = std::to_string(++ids), wait = std::to_string(x.waitMs), map;
+    cql::BytesMap fields = {{"id", id}, {"c", x.workload}, {"d", wait}, {"cluster", "7"}};
+    if (!x.mark.empty()) fields.emplace_back("k", x.mark);
+    cql::addBytesMap(map, fields);
+    lastId = id;
+    return map;
+  }
+  std::string parameters(const Extra& x, const std::vector<std::string>& values) {
+    std::string p;
+    cql::addShort(p, x.consistency);
+    std::uint32_t flags = (values.empty() ? 0 : 1u) | (x.pageSize ? 4u : 0) | (x.page.empty() ? 0 : 8u);
+    version >= 5 ? cql::addInt(p, static_cast<std::int32_t>(flags)) : cql::addByte(p, static_cast<std::uint8_t>(flags));
+    if (!values.empty()) cql::addShort(p, static_cast<std::uint16_t>(values.size()));
+    for (const std::string& v : values) cql::addBytes(p, v);
+    if (x.pageSize) cql::addInt(p, x.pageSize);
+    if (!x.page.empty()) cql::addBytes(p, x.page);
+    return p;
+  }
+  int query(const std::string& text, const Extra& x, int stream = 1) {
+    std::string body = x.payload ? payload(x) : std::string();
+    cql::addLongString(body, text);
+    send(stream, cql::Opcode::query, body + parameters(x, {}), x.payload ? cql::kPayload : 0);
+    return stream;
+  }
+  std::string ask(const std::string& text, const Extra& x) { return answer(query(text, x)); }
+  std::string plain(const std::string& text) {
+    Extra x;
+    x.payload = false;
+    return ask(text, x);
+  }
+  // The id that clients are to execute; empty where it can't be prepared.
+  std::string prepare(const std::string& text, const char* workload = "any") {
+    Extra x;
+    x.workload = workload;
+    std::string body = payload(x);
+    cql::addLongString(body, text);
+    if (version >= 5) cql::addInt(body, 0);
+    send(2, cql::Opcode::prepare, body, cql::kPayload);
+    said = answer(2);
+    if (!said.starts_with("prepared")) return {};
+    resultId = reply.resultId;
+    return std::string(reply.id);
+  }
+  int execute(const std::string& id, const std::vector<std::string>& values, const Extra& x, int stream = 3) {
+    std::string body = x.payload ? payload(x) : std::string();
+    cql::addShortBytes(body, id);
+    if (version >= 5) cql::addShortBytes(body, resultId);
+    send(stream, cql::Opcode::execute, body + parameters(x, values), x.payload ? cql::kPayload : 0);
+    return stream;
+  }
+  // A batch of texts, or, with ids, of prepared statements that have a value each.
+  int batch(const std::vector<std::string>& texts, const std::vector<std::pair<std::string, std::string>>& prepared,
+            std::uint8_t type, const Extra& x, int stream = 4) {
+    std::string body = payload(x);
+    cql::addByte(body, type);
+    cql::addShort(body, static_cast<std::uint16_t>(texts.size() + prepared.size()));
+    for (const auto& [id, value] : prepared)
+      cql::addByte(body, 1), cql::addShortBytes(body, id), cql::addShort(body, 1), cql::addBytes(body, value);
+    for (const std::string& t : texts) cql::addByte(body, 0), cql::addLongString(body, t), cql::addShort(body, 0);
+    cql::addShort(body, x.consistency);
+    version >= 5 ? cql::addInt(body, 0) : cql::addByte(body, 0);
+    send(stream, cql::Opcode::batch, body, cql::kPayload);
+    return stream;
+  }
+
+  Drive& d;
+  int version;
+  cql::Framing framing;
+  std::unique_ptr<sched::Socket> socket;
+  std::string in, started, said, resultId, lastId;
+  std::map<int, Got> answers;
+  Got last;
+  cql::Reply reply;  // of the last one that was put in words; views into `last`
+  bool ended = false;
+  static inline int ids = 100'000;
+};
+
+inline std::string selectOf(const std::string& key) {
+  return "SELECT payload FROM weather.entries WHERE ref = '" + key + "'";
+}
+inline std::string insertOf(const std::string& key) {
+  return "INSERT INTO weather.entries (ref, payload) VALUES ('" + key + "', 0x9f)";
+}
+
+// The door of these tests.
+inline const char* kDoor = R"(
+cassandra {
+  listen            = "127.0.0.1:0"
+  streams           = 2000
+  connections       = 40
+  timeout_ms        = 2000
+  stores_drop_marks = true
+  store { streams = 64 }
+  peer { address = "127.0.0.9:9042" }
+  map {
+    keyspace = "weather"
+    table    = "entries"
+    kinds    = ["read"]
+    workload = "any"
+    group    = 7
+  }
+  map {
+    keyspace = "weather"
+    kinds    = ["write", "batch", "conditional", "counter"]
+    workload = "once"
+    group    = 7
+  }
+}
+)";
+
+}  // namespace reedchute::test
--- /dev/null
+++ b/tests/cql_front.cpp
@@ -0,0 +1,186 @@
+// The Cassandra door of a whole front on loopback, a process of its own, against the toy of example/.
+#include "cql_client.h"
+#include "trace.h"
+
+using namespace reedchute;
+using test::Case;
+using test::CqlClient;
+using test::Drive;
+using test::insertOf;
+using test::kDoor;
+using test::program;
+using test::runCase;
+using test::selectOf;
+using Extra = CqlClient::Extra;
+
+namespace {
+
+struct Door : Drive {
+  explicit Door(int stores, std::string door = kDoor, int memoryMb = 64)
+      : Drive(stores, 256, "automatic", "", false, memoryMb, "15000000", std::move(door)) {}
+};
+
+void doorServes() {
+  for (int version : {4, 5})
+    for (bool compress : {false, true}) {
+      Door d(3);
+      CqlClient c(d, version, compress);
+      std::printf("-- version %d%s: %s\n", version, compress ? ", lz4" : "", c.started.c_str());
+      std::printf("read: %s\n", c.ask(selectOf("a"), {}).c_str());
+      std::printf("write: %s\n", c.ask(insertOf("b"), {.workload = "write", .mark = "m1"}).c_str());
+      std::printf("without a payload: %s\n", c.plain(selectOf("c")).c_str());
+      std::printf("a write without one: %s\n", c.plain(insertOf("d")).c_str());
+      std::string id = c.prepare("SELECT payload FROM weather.entries WHERE ref = ?");
+      std::printf("prepare: %s\n", c.said.c_str());
+      std::printf("execute: %s\n", c.answer(c.execute(id, {"e"}, {})).c_str());
+      std::printf("execute: %s\n", c.answer(c.execute(id, {"f"}, {})).c_str());
+      std::string write = c.prepare("INSERT INTO weather.entries (ref) VALUES (?)");
+      std::printf("batch: %s\n",
+                  c.answer(c.batch({insertOf("g")}, {{write, "h"}}, 0, {.workload = "write", .mark = "m2"})).c_str());
+      std::printf("a long answer: %s\n", c.ask(selectOf("big300000"), {}).substr(0, 12).c_str());
+      std::printf("effects: %d and %d\n", d.toy.effects("m1"), d.toy.effects("m2"));
+    }
+}
+
+void doorStreams() {
+  Door d(3);
+  CqlClient c(d);
+  c.query(selectOf("slow200"), {}, 5);
+  c.query(selectOf("fast"), {}, 6);
+  std::printf("6: %s\n", c.answer(6).c_str());
+  std::printf("5: %s\n", c.answer(5).c_str());
+  for (int k = 0; k < 300; ++k) c.query(selectOf("k" + std::to_string(k)), {}, k);
+  int right = 0;
+  for (int k = 0; k < 300; ++k) right += c.answer(k) == "row 'value of k" + std::to_string(k) + "'";
+  std::printf("300 streams: %d got their own\n", right);
+  int before = d.sent;
+  for (int k = 0; k < 100; ++k) c.query(selectOf("slow300"), {}, k);
+  d.until("they are out", [&] { return d.sent > before; });
+  c.socket->close();
+  CqlClient other(d);
+  std::printf("after one that left with 100 open: %s\n", other.ask(selectOf("a"), {}).c_str());
+  d.until("none is open", [&] { return d.logged("open=0 "); });
+  CqlClient twice(d);
+  twice.query(selectOf("slow200"), {}, 9);
+  twice.query(selectOf("b"), {}, 9);
+  std::printf("a stream that is open: %s\n", twice.answer(9).c_str());
+  d.until("closed", [&] { return twice.read(), twice.ended; });
+  std::printf("another connection: %s\n", other.ask(selectOf("c"), {}).c_str());
+}
+
+void doorSystem() {
+  Door d(1);
+  CqlClient c(d);
+  for (const char* text :
+       {"SELECT * FROM system.local WHERE key='local'", "SELECT * FROM system.peers", "SELECT * FROM system.peers_v2",
+        "SELECT key, rack FROM system.local", "SELECT nothing FROM system.local", "SELECT count(*) FROM system.local",
+        "SELECT * FROM system_schema.keyspaces", "SELECT * FROM system_schema.tables",
+        "SELECT * FROM system_schema.columns", "SELECT * FROM system.none", "INSERT INTO system.local (key) VALUES ('a')",
+        "USE weather", "SELECT payload FROM entries WHERE ref = 'bare'", "USE nowhere",
+        "SELECT payload FROM nowhere.entries WHERE ref = 'a'", "", "SELECT 'open FROM weather.entries"})
+    std::printf("%s: %s\n", text, c.plain(text).c_str());
+  CqlClient fresh(d);
+  std::printf("a bare name without USE: %s\n", fresh.plain("SELECT payload FROM entries WHERE ref = 'a'").c_str());
+  std::string events;
+  cql::addShort(events, 1), cql::addString(events, "STATUS_CHANGE");
+  fresh.send(1, cql::Opcode::reg, events);
+  std::printf("REGISTER: %s\n", fresh.answer(1).c_str());
+  d.signal(SIGTERM);
+  std::printf("when the front leaves: %s\n", fresh.answer(-1).c_str());
+  std::printf("meanwhile: %s\n", fresh.plain(selectOf("late")).c_str());
+  d.exits();
+}
+
+void doorOutcomes() {
+  for (const char* key : {"error-ok", "full-ok", "miss-ok", "away-ok", "break-ok", "half-ok", "garbage-ok", "twice-ok",
+                          "long-ok", "longer-ok", "unasked-ok", "wrong", "full"}) {
+    Door d(3);
+    CqlClient c(d);
+    c.ask(selectOf("ok"), {});
+    int before = d.sent;
+    std::string got = c.ask(selectOf(key), {});
+    std::printf("%s: %s; %s\n", key, got.c_str(), d.sent - before > 1 ? "several sent" : "one sent");
+    std::printf("  then: %s\n", c.ask(selectOf("ok"), {}).c_str());
+  }
+  auto write = [](const char* what, const std::string& text, const Extra& x) {
+    Door d(1);
+    CqlClient c(d);
+    int before = d.sent;
+    std::string got = c.ask(text, x);
+    std::printf("%s: %s; %d sent, %d effects\n", what, got.c_str(), d.sent - before,
+                d.toy.effects(x.mark.empty() ? c.lastId : x.mark));
+  };
+  write("a marked write may run again", insertOf("error-ok"), {.workload = "write", .mark = "m"});
+  write("it broke after it ran", insertOf("break-ok"), {.workload = "write", .mark = "m"});
+  write("one that must not", insertOf("error-ok"), {.workload = "once"});
+  write("one that never ran", insertOf("full-ok"), {.workload = "once"});
+  write("a time-out of the store's", insertOf("writetimeout-ok"), {.workload = "once"});
+  write("no answer in its time", insertOf("silent"), {.workload = "once", .waitMs = 500});
+  write("a counter without a mark's workload",
+        "UPDATE weather.entries SET n = n + 1 WHERE ref = 'error-ok'", {.workload = "once"});
+  write("a conditional write", "INSERT INTO weather.entries (ref) VALUES ('break-ok') IF NOT EXISTS", {.workload = "once"});
+}
+
+void doorPrepared() {
+  Door d(3);
+  CqlClient c(d);
+  std::string id = c.prepare("SELECT payload FROM weather.entries WHERE ref = ?");
+  auto run = [&](const char* what, int times) {
+    int right = 0, before = d.toy.preparedTimes(0) + d.toy.preparedTimes(1) + d.toy.preparedTimes(2);
+    for (int k = 0; k < times; ++k) right += c.answer(c.execute(id, {"v"}, {})) == "row 'value of v'";
+    int prepared = d.toy.preparedTimes(0) + d.toy.preparedTimes(1) + d.toy.preparedTimes(2) - before;
+    std::printf("%s: %d of %d; prepared anew: %s\n", what, right, times,
+                prepared <= 3 ? "at most once a store" : "too often");
+  };
+  run("at all stores", 60);
+  for (int k = 0; k < 3; ++k) d.toy.forgetPrepared(k);
+  run("forgotten by all", 60);
+  d.toy.kill(1);
+  d.pass(50);
+  d.toy.revive(1);
+  run("one was started again", 20);
+  CqlClient other(d, 5);
+  std::string same = other.prepare("SELECT payload FROM weather.entries WHERE ref = ?");
+  std::printf("the same text has the same id for all: %s\n", same == id ? "yes" : "no");
+  std::printf("version 5: %s\n", other.answer(other.execute(same, {"w"}, {})).c_str());
+  std::printf("an unknown id: %s\n", c.answer(c.execute("nothing", {"v"}, {})).c_str());
+  std::printf("what can't be prepared: %s\n", (c.prepare("SELECT ("), c.said.c_str()));
+  std::string once = c.prepare("INSERT INTO weather.entries (ref) VALUES (?)");
+  for (int k = 0; k < 3; ++k) d.toy.forgetPrepared(k);
+  Extra x{.workload = "once"};
+  std::printf("a write that was forgotten: %s\n", c.answer(c.execute(once, {"v"}, x)).c_str());
+  std::printf("its effects: %d\n", d.toy.effects(c.lastId));
+  for (int k = 0; k < 3; ++k) d.toy.forgetPrepared(k);
+  std::printf("a batch of it: %s\n", c.answer(c.batch({}, {{once, "v"}, {once, "w"}}, 1, x)).c_str());
+  std::printf("its effects: %d\n", d.toy.effects(c.lastId));
+}
+
+void doorPages() {
+  Door d(3);
+  CqlClient c(d);
+  Extra x;
+  x.pageSize = 1;
+  for (int k = 1; k <= 3; ++k) {
+    std::printf("page %d: %s\n", k, c.ask(selectOf("pages3"), x).c_str());
+    x.page = std::string(c.reply.pageState.value_or(std::string_view{}));
+  }
+  std::printf("%s\n", c.ask(selectOf("pages3"), {.pageSize = 1}).c_str());
+  std::string page(*c.reply.pageState), changed = page;
+  changed[changed.size() / 2] = static_cast<char>(changed[changed.size() / 2] ^ 1);
+  std::printf("a state that was changed: %s\n", c.ask(selectOf("pages3"), {.pageSize = 1, .page = changed}).c_str());
+  std::printf("a state of nobody's: %s\n", c.ask(selectOf("pages3"), {.pageSize = 1, .page = "2"}).c_str());
+  std::printf("the next page stalls: %s\n",
+              c.ask(selectOf("silent"), {.waitMs = 400, .pageSize = 1, .page = page}).c_str());
+  std::printf("and again: %s\n", c.ask(selectOf("pages3"), {.pageSize = 1, .page = page}).c_str());
+}
+
+constexpr Case kCases[] = {{"doorServes", doorServes},     {"doorStreams", doorStreams},   {"doorSystem", doorSystem},
+                           {"doorOutcomes", doorOutcomes}, {"doorPrepared", doorPrepared}, {"doorPages", doorPages}};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2) return 2;
+  program = argv[1];
+  return runCase(kCases, argc - 1, argv + 1);
+}
--- /dev/null
+++ b/tests/drive.h
@@ -0,0 +1,159 @@
+// A front as a process of its own, with the toy of example/ for its stores and list.
+#pragma once
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "toy.h"
+
+namespace reedchute::test {
+
+inline const char* program = nullptr;
+inline constexpr Span kPatience{20'000'000};  // only a broken front ever takes that long
+
+inline const char* kSettings = R"({"classes":[
+  {"name":"any","repeat":"repeatable","slo":500000,"worth":1,"late_worth":0.2},
+  {"name":"near","repeat":"repeatable","slo":500000,"worth":1,"late_worth":0.2},
+  {"name":"write","repeat":"by_key","key_scope":"cell","repeat_window":3000000,"slo":600000,"worth":4,"late_worth":0.3},
+  {"name":"once","repeat":"once","slo":600000,"worth":4,"late_worth":0.3}],
+ "extra":{"read_level":["eventual","lag_bound","mutate","mutate"],"lag_allowed":[0,20000000,0,0],"origin_time":0,
+  "role_in_list":"static","checks":"none","tokens":"brought"},
+ "failure_domains":["a"],"membership_mode":"automatic","siblings":1,"tick":5000,
+ "limits":{"connect_timeout":250000,"keepalive":15000000,"max_attempts":6,"may_cancel":true,"parallel_tries":true,
+  "probes":true,"retry_after":true,"max_retry_after":2000000},
+ "obligations":{"ask_every":10000000,"cold_from":0.27,"fall_multiple":2.5,"ramp_time":16000000,"tip_after":2000000},
+ "prices":{"probe":0.016},"realms":[]})";
+
+class Drive {
+ public:
+  explicit Drive(int stores, int sockets = 256, const char* mode = "automatic", const char* firstList = "",
+                 bool logStands = false, int memoryMb = 64, const char* keepalive = "15000000",
+                 std::string doors = "")
+      : toy(s), mode_(mode), memoryMb_(memoryMb), keepalive_(keepalive), logStands_(logStands), doors_(std::move(doors)) {
+    for (int k = 0; k < stores; ++k) {
+      toy.addStore(k == 0, 7);
+      if (!doors_.empty()) toy.speakCql(k);
+    }
+    listPort_ = toy.serveList();
+    toy.spoilList(firstList);
+    toy.seen = [this](int store, const std::string& text) {
+      ++sent;
+      if (show) std::printf("  store %d sees: %s\n", store, text.substr(0, text.find(",d=")).c_str());
+    };
+    start(sockets);
+  }
+  ~Drive() {
+    if (child_ > 0) kill(child_, SIGKILL), waitpid(child_, nullptr, 0);
+    unlink(path_.c_str());
+    if (!doors_.empty()) unlink((path_ + ".hcl").c_str());
+  }
+
+  void start(int sockets) {
+    char name[] = "/tmp/reedchute-test-XXXXXX";
+    int file = mkstemp(name);
+    if (file < 0) throw std::runtime_error("no temporary file");
+    close(file);
+    path_ = name;
+    std::string settings = kSettings;
+    settings.replace(settings.find("automatic"), 9, mode_);
+    settings.replace(settings.find("15000000"), 8, keepalive_);
+    if (logStands_) {  // the port can't be read from the log then: one that was free a moment ago
+      int probe = sched::listenOn(*sched::parseAddress("127.0.0.1:0", true));
+      port = static_cast<std::uint16_t>(sched::portOf(probe));
+      close(probe);
+    }
+    sockets_ = sockets, settings_ = settings;
+    configure(listPort_);
+    if (!doors_.empty()) std::ofstream(path_ + ".hcl") << doors_;
+    int fds[2];
+    if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds) < 0)
+      throw std::runtime_error("no socketpair");
+    while (logStands_ && send(fds[1], "full", 4, MSG_DONTWAIT) > 0) {
+    }
+    child_ = fork();
+    if (child_ == 0) {
+      dup2(fds[1], 2);
+      setenv("LB_CONFIG", path_.c_str(), 1);
+      if (doors_.empty()) execl(program, program, static_cast<char*>(nullptr));
+      execl(program, program, "--settings", (path_ + ".hcl").c_str(), static_cast<char*>(nullptr));
+      _exit(127);
+    }
+    close(fds[1]);
+    fcntl(fds[0], F_SETFL, O_NONBLOCK);
+    log_ = std::make_unique<sched::Socket>(s, fds[0]);
+    if (logStands_) return pass(300);
+    until("the front listens", [&] { return logged("listening port="); });
+    port = static_cast<std::uint16_t>(std::atoi(log.c_str() + log.find("listening port=") + 15));
+    if (!doors_.empty()) {
+      until("the other door listens", [&] { return logged("protocol=cassandra port="); });
+      cqlPort = static_cast<std::uint16_t>(std::atoi(log.c_str() + log.find("protocol=cassandra port=") + 24));
+    }
+    until("the list is read", [&] { return logged(" list version="); });
+  }
+  void configure(int listPort, const char* name = "t", std::size_t cutAt = std::string::npos) {
+    std::string text = "{\"name\":\"" + std::string(name) + "\",\"listen\":\"127.0.0.1:" +
+                       std::to_string(logStands_ ? port : 0) + "\",\"discovery\":\"127.0.0.1:" +
+                       std::to_string(listPort) + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" +
+                       std::to_string(sockets_) + ",\"memory_mb\":" + std::to_string(memoryMb_) + "},\"known\":" + toy.roster() + ",\"settings\":" + settings_ +
+                       "}";
+    std::ofstream(path_) << text.substr(0, cutAt);
+  }
+  bool logged(const char* text) {
+    log_->read(log, 1 << 24);
+    return log.find(text) != std::string::npos;
+  }
+  // Runs the stores until something is so; says so if it never is.
+  bool until(const char* what, const std::function<bool()>& so) {
+    for (TimePoint end = s.now() + kPatience; !so();) {
+      if (s.now() > end) {
+        std::printf("waited in vain: %s\n", what);
+        if (std::getenv("SHOW_LOG")) std::fprintf(stderr, "%s", log.c_str());
+        return false;
+      }
+      s.pass(s.now() + Span{2000}, [] {});
+    }
+    return true;
+  }
+  void pass(int ms) {
+    for (TimePoint end = s.now() + Span{ms * 1000}; s.now() < end;) s.pass(s.now() + Span{2000}, [] {});
+  }
+  void signal(int number) { kill(child_, number); }
+  // How the front ended, once it has.
+  void exits() {
+    int status = -1;
+    if (until("the front exits", [&] { return waitpid(child_, &status, WNOHANG) == child_; })) child_ = -1;
+    std::printf("the front exits with %d\n", WIFEXITED(status) ? WEXITSTATUS(status) : -1);
+  }
+
+  sched::Scheduler s;
+  toy::Toy toy;
+  std::uint16_t port = 0, cqlPort = 0;
+  std::string log;
+  bool show = false;
+  int sent = 0;
+
+ private:
+  std::uint16_t listPort_ = 0;
+  std::string mode_, settings_;
+  int sockets_ = 0, memoryMb_;
+  const char* keepalive_;
+  bool logStands_;
+  std::string doors_;
+  pid_t child_ = -1;
+  std::string path_;
+  std::unique_ptr<sched::Socket> log_;
+};
+
+}  // namespace reedchute::test
