--- a/src/doors/cql/talk.cpp
+++ b/src/doors/cql/talk.cpp
@@ -151,6 +151,11 @@
     line_.end();
   }
 
+  // Nothing but this stream is wrong.
+  void refuse(int stream, std::string_view text) {
+    put(0, stream, Opcode::error, cql::errorBody(cql::kProtocolError, text));
+  }
+
   // A driver that begins with another version is told the highest one, in that version, and comes again with it.
   bool versionMayBe(std::string_view bytes) {
     if (bytes.empty()) return true;
@@ -191,7 +196,7 @@
 
   void start(const Frame& f) {
     cql::Start s;
-    if (state_ != State::fresh) return endWith(f.stream, cql::kProtocolError, "a second STARTUP");
+    if (state_ != State::fresh) return refuse(f.stream, "a second STARTUP");
     if (!cql::readStart(f.body, s)) return endWith(f.stream, cql::kProtocolError, "a STARTUP that can't be read");
     if (!s.compression.empty() && s.compression != "lz4")
       return endWith(f.stream, cql::kProtocolError, "a compression that isn't offered");
@@ -205,7 +210,7 @@
   }
 
   void authenticate(const Frame& f) {
-    if (state_ != State::asked) return endWith(f.stream, cql::kProtocolError, "nobody asked for a password");
+    if (state_ != State::asked) return refuse(f.stream, "nobody asked for a password");
     cql::Cursor c(f.body);
     std::string_view token = c.bytes().value_or(std::string_view{});
     // SASL PLAIN: an identity to act for, the user and the password, set apart by zero bytes.
@@ -227,12 +232,11 @@
 
   void listen(const Frame& f) {
     std::vector<std::string_view> events;
-    if (!cql::readRegister(f.body, events))
-      return put(0, f.stream, Opcode::error, cql::errorBody(cql::kProtocolError, "a REGISTER that can't be read"));
+    if (!cql::readRegister(f.body, events)) return refuse(f.stream, "a REGISTER that can't be read");
     bool status = false;
     for (std::string_view e : events) {
       if (e != "TOPOLOGY_CHANGE" && e != "STATUS_CHANGE" && e != "SCHEMA_CHANGE")
-        return put(0, f.stream, Opcode::error, cql::errorBody(cql::kProtocolError, "an event that isn't known"));
+        return refuse(f.stream, "an event that isn't known");
       status |= e == "STATUS_CHANGE";
     }
     if (status && std::find(door_.listening.begin(), door_.listening.end(), this) == door_.listening.end())
--- a/tests/cql_front.cpp
+++ b/tests/cql_front.cpp
@@ -174,8 +174,112 @@
   std::printf("and again: %s\n", c.ask(selectOf("pages3"), {.pageSize = 1, .page = page}).c_str());
 }
 
+std::string frameOf(int version, int flags, int stream, int opcode, std::string_view body) {
+  return cql::whole(version & 0x80, version & 0x7f, static_cast<std::uint8_t>(flags), static_cast<std::int16_t>(stream),
+                    static_cast<cql::Opcode>(opcode), body);
+}
+
+void doorBadInput() {
+  Door d(2);
+  CqlClient good(d);
+  auto fresh = [&](const char* what, const std::string& bytes, int stream) {
+    CqlClient c(d, 4, false, false);
+    c.raw(bytes);
+    std::printf("%s: %s", what, c.answer(stream).c_str());
+    d.until("closed", [&] { return c.read(), c.ended; });
+    std::printf("; ended\n");
+  };
+  std::string start;
+  cql::addShort(start, 1), cql::addString(start, "CQL_VERSION"), cql::addString(start, "3.0.0");
+  fresh("version 3", frameOf(3, 0, 7, 1, start), 7);
+  fresh("version 6", frameOf(6, 0, 7, 5, ""), 7);
+  fresh("version 1", std::string("\1\0\0\1\0\0\0\0", 8), 0);
+  fresh("an answer for a request", frameOf(0x84, 0, 3, 1, start), 3);
+  fresh("an unknown opcode", frameOf(4, 0, 3, 0x44, ""), 3);
+  fresh("a query before STARTUP", frameOf(4, 0, 3, 7, ""), 3);
+  fresh("a STARTUP that can't be read", frameOf(4, 0, 3, 1, "x"), 3);
+  fresh("a compression that isn't offered", [] {
+    std::string s;
+    cql::addShort(s, 2), cql::addString(s, "CQL_VERSION"), cql::addString(s, "3.0.0");
+    cql::addString(s, "COMPRESSION"), cql::addString(s, "snappy");
+    return frameOf(4, 0, 3, 1, s);
+  }(), 3);
+  std::string huge;
+  cql::addHeader(huge, false, 4, 0, 1, cql::Opcode::query, 0x7fffffff);
+  fresh("a huge length", huge, 0);
+  std::string negative;
+  cql::addHeader(negative, false, 4, 0, 1, cql::Opcode::query, 0xfffffff0);
+  fresh("a negative length", negative, 0);
+  fresh("not this protocol at all", "GET / HTTP/1.1\r\n\r\n", 12064);
+  auto after = [&](const char* what, int version, const std::string& bytes, int stream) {
+    CqlClient c(d, version);
+    // A statement that is out meanwhile isn't hurt where the connection goes on.
+    c.query(selectOf("slow100"), {}, 30);
+    c.raw(bytes);
+    std::printf("%s: %s; ", what, c.answer(stream).c_str());
+    std::printf("the other stream: %s\n", c.answer(30).c_str());
+  };
+  after("a body that can't be read", 4, frameOf(4, 0, 9, 7, "xx"), 9);
+  after("a batch without end", 4, frameOf(4, 0, 9, 13, std::string("\0\xff\xff", 3)), 9);
+  after("an unknown flag of the query", 4,
+        frameOf(4, 0, 9, 7, std::string("\0\0\0\1x\0\1\x80", 8)), 9);
+  after("a second STARTUP", 4, frameOf(4, 0, 9, 1, start), 9);
+  after("a password that nobody asked for", 4, frameOf(4, 0, 9, 15, std::string("\0\0\0\0", 4)), 9);
+  after("a negative stream", 4, frameOf(4, 0, -5, 7, ""), -5);
+  after("another version in between", 4, frameOf(5, 0, 9, 7, ""), 9);
+  after("compressed without agreement", 4, frameOf(4, 1, 9, 7, std::string("\0\0\0\4abcd", 8)), 0);
+  after("a spoilt checksum", 5, std::string(64, '\x55'), 0);
+  after("REGISTER for nothing known", 4, [] {
+    std::string s;
+    cql::addShort(s, 1), cql::addString(s, "WEATHER_CHANGE");
+    return frameOf(4, 0, 9, 11, s);
+  }(), 9);
+  std::printf("all the while: %s\n", good.ask(selectOf("a"), {}).c_str());
+}
+
+void doorPasswords() {
+  std::string door = kDoor;
+  door.insert(door.find("  streams"), "  user = \"gate\"\n  password = \"rain\"\n");
+  Door d(1, door);
+  for (const char* secret : {"rain", "snow", "rainy", ""}) {
+    CqlClient c(d);
+    std::string before = c.started, token = std::string("\0gate\0", 6) + secret, body;
+    cql::addBytes(body, token);
+    c.send(1, cql::Opcode::authResponse, body);
+    std::printf("'%s': %s, %s", secret, before.c_str(), c.answer(1).c_str());
+    std::printf(", a read: %s\n", c.ended ? "ended" : c.ask(selectOf("a"), {}).c_str());
+  }
+  CqlClient c(d);
+  c.query(selectOf("a"), {}, 2);
+  std::printf("a query without one: %s\n", c.answer(2).c_str());
+}
+
+// Many streams at once, a client that reads nothing, and the memory that it all takes.
+void doorCrowd() {
+  Door d(3, kDoor, 32);
+  CqlClient c(d);
+  for (int k = 0; k < 10'000; ++k) c.query(selectOf("slow2"), {}, k);
+  int completed = 0, rejected = 0, other = 0;
+  for (int k = 0; k < 10'000; ++k) {
+    std::string got = c.answer(k);
+    ++(got.starts_with("row") ? completed : got.starts_with("ERROR 1001") ? rejected : other);
+  }
+  std::printf("10,000 streams at once: answered %d, otherwise %d\n", completed + rejected, other);
+  std::vector<std::unique_ptr<CqlClient>> deaf;
+  for (int k = 0; k < 5; ++k) {
+    deaf.push_back(std::make_unique<CqlClient>(d));
+    for (int n = 0; n < 200; ++n) deaf.back()->query(selectOf("big60000"), {}, n);
+  }
+  CqlClient after(d);
+  int right = 0;
+  for (int k = 0; k < 20; ++k) right += after.ask(selectOf("a"), {}) == "row 'value of a'";
+  std::printf("beside clients that read nothing: %d of 20\n", right);
+  std::printf("memory at most 32 MB: %s\n", d.peakKb() <= 32 * 1024 ? "yes" : std::to_string(d.peakKb()).c_str());
+}
+
 constexpr Case kCases[] = {{"doorServes", doorServes},     {"doorStreams", doorStreams},   {"doorSystem", doorSystem},
-                           {"doorOutcomes", doorOutcomes}, {"doorPrepared", doorPrepared}, {"doorPages", doorPages}};
+                           {"doorOutcomes", doorOutcomes}, {"doorPrepared", doorPrepared}, {"doorPages", doorPages},
+                           {"doorBadInput", doorBadInput}, {"doorPasswords", doorPasswords}, {"doorCrowd", doorCrowd}};
 
 }  // namespace
 
--- a/tests/drive.h
+++ b/tests/drive.h
@@ -137,6 +137,14 @@
     std::printf("the front exits with %d\n", WIFEXITED(status) ? WEXITSTATUS(status) : -1);
   }
 
+  // The most memory that the front has held.
+  int peakKb() const {
+    std::ifstream status("/proc/" + std::to_string(child_) + "/status");
+    for (std::string line; std::getline(status, line);)
+      if (line.starts_with("VmHWM:")) return std::atoi(line.c_str() + 6);
+    return -1;
+  }
+
   sched::Scheduler s;
   toy::Toy toy;
   std::uint16_t port = 0, cqlPort = 0;
