--- a/example/main.cpp
+++ b/example/main.cpp
@@ -11,14 +11,15 @@
 
 namespace {
 
-constexpr std::uint16_t kListPort = 7400, kFirstStorePort = 7401;
+constexpr std::uint16_t kListPort = 7400, kFirstStorePort = 7401, kFirstCqlPort = 7501;
 constexpr const char* kFront = "127.0.0.1:7432";
 
 int serve() {
   sched::Scheduler s;
   toy::Toy toy(s);
   for (std::uint16_t k = 0; k < 3; ++k)
-    toy.addStore(k == 0, 1, static_cast<std::uint16_t>(kFirstStorePort + k));
+    toy.speakCql(toy.addStore(k == 0, 1, static_cast<std::uint16_t>(kFirstStorePort + k)),
+                 static_cast<std::uint16_t>(kFirstCqlPort + k));
   toy.serveList(kListPort);
   toy.seen = [](int store, const std::string& text) {
     std::printf("%s sees: %s\n",
@@ -27,8 +28,8 @@
                              : "replica 2",
                 text.c_str());
   };
-  std::printf("a primary and two replicas at 127.0.0.1:%d to %d, their list at %d\n", kFirstStorePort,
-              kFirstStorePort + 2, kListPort);
+  std::printf("a primary and two replicas at 127.0.0.1:%d to %d, in Cassandra's protocol at %d to %d, their list at %d\n",
+              kFirstStorePort, kFirstStorePort + 2, kFirstCqlPort, kFirstCqlPort + 2, kListPort);
   s.run([] {});
   return 0;
 }
