--- a/example/toy_cql.cpp
+++ b/example/toy_cql.cpp
@@ -44,7 +44,7 @@
   cql::Opcode opcode = cql::Opcode::query;
   std::string id, key, mark, text;
   std::string page;  // the state that came
-  bool write = false;
+  bool write = false, schema = false;
 };
 
 void Toy::speakCql(int number, std::uint16_t port) {
@@ -147,6 +147,11 @@
     int pages = std::atoi(word.c_str() + 5), page = asked.page.empty() ? 1 : std::atoi(asked.page.c_str());
     put(cql::Opcode::result,
         rowBody("page " + std::to_string(page), page < pages ? std::to_string(page + 1) : std::string()));
+  } else if (asked.schema) {
+    std::string body;
+    cql::addInt(body, 5);
+    for (const char* part : {"CREATED", "TABLE", "weather", "entries"}) cql::addString(body, part);
+    put(cql::Opcode::result, body);
   } else if (asked.write) {
     std::string body;
     cql::addInt(body, 1);
@@ -247,6 +252,7 @@
     }
   }
   one.write = read.kind != cql::Kind::read;
+  one.schema = read.kind == cql::Kind::schema;
   one.id = cql::valueOf(asked.payload, "id");
   one.mark = markOf(asked.payload);
   one.page = asked.parameters.pageState.value_or(std::string_view{});
--- a/src/cql/text.cpp
+++ b/src/cql/text.cpp
@@ -162,6 +162,8 @@
     // A batch that isn't applied to its end would be another statement.
     if ((r_.kind == Kind::batch || r_.kind == Kind::counter) && !applied_) return TextState::unclosed;
     if (r_.kind == Kind::write && r_.nature == Nature::conditional) r_.kind = Kind::conditional;
+    if (r_.kind == Kind::schema) r_.nature = Nature::schema;
+    if (ofKeyspace_) r_.keyspace = std::exchange(r_.table, {});
     return TextState::good;
   }
 
@@ -241,7 +243,7 @@
   }
   void bareName() {
     naming_ = false;
-    if (r_.kind != Kind::use) r_.bare.push_back(nameAt_);
+    if (r_.kind != Kind::use && !ofKeyspace_) r_.bare.push_back(nameAt_);
   }
   void startName() {
     // A batch is told by the table that it names first.
@@ -258,6 +260,10 @@
       if (oneOf(w, {"from", "into", "update", "truncate"}) && r_.kind != Kind::use) {
         if (w != "update" || first || last_ != Token::word || lastWord_ != "for") startName();
       }
+      if (r_.kind == Kind::schema && r_.table.empty() && oneOf(w, {"table", "type", "view", "keyspace"})) {
+        startName();
+        ofKeyspace_ = w == "keyspace";
+      }
       if (w == "counter" && r_.kind == Kind::batch && lastWord_ == "begin")
         r_.kind = Kind::counter, r_.nature = Nature::counter;
       if (w == "apply" && (r_.kind == Kind::batch || r_.kind == Kind::counter)) applied_ = true;
@@ -277,7 +283,7 @@
   Tokens tokens_;
   TextRead& r_;
   bool any_ = false, ended_ = false, applied_ = false, deletes_ = false;
-  bool naming_ = false, mine_ = false, setLeft_ = false;
+  bool naming_ = false, mine_ = false, setLeft_ = false, ofKeyspace_ = false;
   std::size_t nameAt_ = 0;
   std::string firstPart_;
   int namingState_ = 0;  // 0: a name comes; 1: a dot may; 2: the second part comes
@@ -296,7 +302,7 @@
 }
 
 const char* nameOf(Nature n) {
-  static constexpr std::array kNames = {"idempotent", "conditional", "counter", "function", "appends", "byPlace"};
+  static constexpr std::array kNames = {"idempotent", "conditional", "counter", "function", "appends", "schema", "byPlace"};
   return kNames[static_cast<std::size_t>(n)];
 }
 
--- a/src/cql/text.h
+++ b/src/cql/text.h
@@ -19,6 +19,7 @@
   counter,      // a counter batch
   function,     // now(), uuid() and any other function that isn't known to give the same each time
   appends,      // x = x + ...: a counter, or a list that grows; told from a set or map only by its literal
+  schema,       // a table made or dropped twice is an error, one emptied twice may lose what came between
   byPlace,      // DELETE x[..]: of a list, the next run deletes another element
 };
 
--- a/src/doors/cql/given.h
+++ b/src/doors/cql/given.h
@@ -20,6 +20,7 @@
   std::vector<std::uint16_t> consistencies;  // none: any
   std::string workload;
   std::int64_t group = 0;
+  int line = 0;                 // where it stands in the settings
   std::optional<Span> timeout;  // otherwise the door's
 };
 
--- a/src/doors/cql/settings.cpp
+++ b/src/doors/cql/settings.cpp
@@ -35,6 +35,7 @@
   m.table = s.text("table", "");
   for (const std::string& word : s.texts("kinds")) m.kinds.push_back(kindNamed(s, word));
   for (const std::string& word : s.texts("consistencies")) m.consistencies.push_back(consistencyNamed(s, word));
+  m.line = s.line();
   m.workload = s.text("workload");
   m.group = s.number("group", INT32_MIN, INT32_MAX);
   if (s.has("timeout_ms")) m.timeout = Span{s.number("timeout_ms", 1, 86'400'000) * 1000};
--- a/src/doors/cql/talk.cpp
+++ b/src/doors/cql/talk.cpp
@@ -1,5 +1,6 @@
 #include "doors/cql/talk.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -45,7 +46,7 @@
 class Session : public peers::Talk, public exchange::Asker {
  public:
   Session(Door& door, peers::Line& line) : door_(door), line_(line), framing_(door.given.mostBody) {}
-  ~Session() override { std::erase(door_.listening, this); }
+  ~Session() override { std::erase(door_.forStatus, this), std::erase(door_.forSchema, this); }
 
   bool greeted() const override { return state_ == State::ready; }
   std::size_t owed() const override { return open_.size(); }
@@ -131,8 +132,9 @@
 
   void tellDown() {
     const sockaddr_in& here = door_.given.listen;
-    put(0, -1, Opcode::event, cql::statusEvent("DOWN", here.sin_addr.s_addr, ntohs(here.sin_port)));
+    tell(cql::statusEvent("DOWN", here.sin_addr.s_addr, ntohs(here.sin_port)));
   }
+  void tell(std::string_view event) { put(0, -1, Opcode::event, event); }
 
  private:
   enum class State { fresh, asked, ready };  // `asked`: for its password
@@ -233,14 +235,17 @@
   void listen(const Frame& f) {
     std::vector<std::string_view> events;
     if (!cql::readRegister(f.body, events)) return refuse(f.stream, "a REGISTER that can't be read");
-    bool status = false;
+    bool status = false, schema = false;
     for (std::string_view e : events) {
       if (e != "TOPOLOGY_CHANGE" && e != "STATUS_CHANGE" && e != "SCHEMA_CHANGE")
         return refuse(f.stream, "an event that isn't known");
-      status |= e == "STATUS_CHANGE";
+      status |= e == "STATUS_CHANGE", schema |= e == "SCHEMA_CHANGE";
     }
-    if (status && std::find(door_.listening.begin(), door_.listening.end(), this) == door_.listening.end())
-      door_.listening.push_back(this);
+    auto join = [&](std::vector<Session*>& those) {
+      if (std::find(those.begin(), those.end(), this) == those.end()) those.push_back(this);
+    };
+    if (status) join(door_.forStatus);
+    if (schema) join(door_.forSchema);
     put(0, f.stream, Opcode::ready, {});
   }
 
@@ -277,7 +282,14 @@
       cql::addBytes(put, wrapped({storeMark(door_.fleet.storeId(by)), position, std::string(*r.pageState)}));
       return with(r.pageAt, r.pageSpan, put);
     }
-    if (r.kind == cql::ResultKind::schemaChange) door_.texts.schemaChanged();
+    if (r.kind == cql::ResultKind::schemaChange) {
+      // Behind the kind it is worded as the event is.
+      std::string event;
+      cql::addString(event, "SCHEMA_CHANGE");
+      event += std::string_view(bytes).substr(r.bodyAt + 4);
+      door_.texts.schemaChanged();
+      door_.schemaChanged(event);
+    }
     if (r.kind == cql::ResultKind::prepared && pending.preparing) {
       std::string put;
       cql::addShortBytes(put, pending.preparing->id);
@@ -308,7 +320,11 @@
 }
 
 void Door::leaving() {
-  for (Session* s : listening) s->tellDown();
+  for (Session* s : forStatus) s->tellDown();
+}
+
+void Door::schemaChanged(std::string_view event) {
+  for (Session* s : forSchema) s->tell(event);
 }
 
 }  // namespace reedchute::doors::cql
--- a/src/doors/cql/talk.h
+++ b/src/doors/cql/talk.h
@@ -29,6 +29,8 @@
   std::size_t mostMessage() const override;
   // Tells those who asked for it that this front goes down.
   void leaving();
+  // A change of the schema went through this front: `event` is the body of EVENT.
+  void schemaChanged(std::string_view event);
 
   sched::Scheduler& scheduler;
   exchange::Desk& desk;
@@ -37,7 +39,7 @@
   const TakeIn takeIn;
   PreparedTexts& texts;
   const exchange::Speech speeches[2];
-  std::vector<Session*> listening;  // sessions that registered for changes of status
+  std::vector<Session*> forStatus, forSchema;  // sessions that registered for these events
 };
 
 }  // namespace reedchute::doors::cql
--- a/src/front/given.cpp
+++ b/src/front/given.cpp
@@ -49,7 +49,8 @@
   g.cassandra = doors::cql::givenFrom(doors.front());
   for (const doors::cql::Mapping& m : g.cassandra->mappings)
     if (placeOf(g.names.workloads, m.workload) < 0)
-      all.fail("cassandra", "maps to the workload '" + m.workload + "', which the platform's settings don't have");
+      throw Malformed(path + ":" + std::to_string(m.line) + ": 'workload' names '" + m.workload +
+                      "', which the platform's settings don't have");
   g.chart.emplace(*g.cassandra, g.terms, g.names);
 }
 
--- a/src/hcl/settings.h
+++ b/src/hcl/settings.h
@@ -48,6 +48,7 @@
   std::vector<std::int64_t> numbers(std::string_view name);
   std::vector<Section> blocks(std::string_view type);
   void done() const;
+  int line() const { return block_.line; }
 
   [[noreturn]] void fail(std::string_view name, std::string_view why) const;
 
--- a/tests/cql_client.h
+++ b/tests/cql_client.h
@@ -222,7 +222,7 @@
   }
   map {
     keyspace = "weather"
-    kinds    = ["write", "batch", "conditional", "counter"]
+    kinds    = ["write", "batch", "conditional", "counter", "schema"]
     workload = "once"
     group    = 7
   }
--- a/tests/cql_front.cpp
+++ b/tests/cql_front.cpp
@@ -85,6 +85,13 @@
   cql::addShort(events, 1), cql::addString(events, "STATUS_CHANGE");
   fresh.send(1, cql::Opcode::reg, events);
   std::printf("REGISTER: %s\n", fresh.answer(1).c_str());
+  CqlClient schema(d);
+  events.clear();
+  cql::addShort(events, 1), cql::addString(events, "SCHEMA_CHANGE");
+  schema.send(1, cql::Opcode::reg, events);
+  schema.answer(1);
+  std::printf("a change of the schema: %s\n", c.plain("CREATE TABLE weather.entries (a int PRIMARY KEY)").c_str());
+  std::printf("who asked for it hears: %s\n", schema.answer(-1).c_str());
   d.signal(SIGTERM);
   std::printf("when the front leaves: %s\n", fresh.answer(-1).c_str());
   std::printf("meanwhile: %s\n", fresh.plain(selectOf("late")).c_str());
@@ -172,6 +179,18 @@
   std::printf("the next page stalls: %s\n",
               c.ask(selectOf("silent"), {.waitMs = 400, .pageSize = 1, .page = page}).c_str());
   std::printf("and again: %s\n", c.ask(selectOf("pages3"), {.pageSize = 1, .page = page}).c_str());
+  // Further pages are never older than the first: replicas that came back from an old copy get none of them.
+  for (int store : {1, 2}) {
+    d.toy.kill(store);
+    d.toy.lag(store, Span{60'000'000});
+    d.toy.revive(store);
+  }
+  d.until("told", [&] { return d.logged("id=toy-2 group=7 state=up primary=0 started_ms=1"); });
+  int right = 0, before = d.toy.executions(1) + d.toy.executions(2);
+  for (int k = 0; k < 20; ++k)
+    right += c.ask(selectOf("pages3"), {.pageSize = 1, .page = page}) == "row 'page 2', more pages";
+  std::printf("next pages while replicas are a minute behind: %d of 20, %d sent to those\n", right,
+              d.toy.executions(1) + d.toy.executions(2) - before);
 }
 
 std::string frameOf(int version, int flags, int stream, int opcode, std::string_view body) {
--- a/tests/cql_units.cpp
+++ b/tests/cql_units.cpp
@@ -48,9 +48,9 @@
     Terms t = terms();
     Given g;
     g.storesDropMarks = marks;
-    g.mappings = {{"weather", "history", {Kind::read}, {1}, "near", 7, Span{100'000}},
-                  {"weather", "history", {Kind::read}, {}, "any", 7, {}},
-                  {"weather", "", {Kind::write, Kind::batch, Kind::counter, Kind::conditional}, {}, "write", 8, {}}};
+    g.mappings = {{"weather", "history", {Kind::read}, {1}, "near", 7, 0, Span{100'000}},
+                  {"weather", "history", {Kind::read}, {}, "any", 7, 0, {}},
+                  {"weather", "", {Kind::write, Kind::batch, Kind::counter, Kind::conditional}, {}, "write", 8, 0, {}}};
     Chart c(g, t, kNames);
     Index<std::int64_t> groups;
     groups.add(7), groups.add(8);
@@ -212,7 +212,7 @@
   Given g;
   g.timeout = Span{2'000'000};
   g.batchMost = 3;
-  g.mappings = {{"weather", "", {Kind::read}, {}, "any", 7, {}}, {"weather", "", {}, {}, "write", 7, Span{300'000}}};
+  g.mappings = {{"weather", "", {Kind::read}, {}, "any", 7, 0, {}}, {"weather", "", {}, {}, "write", 7, 0, Span{300'000}}};
   Chart c(g, t, kNames);
   Index<std::int64_t> groups;
   groups.add(7);
