--- a/example/toy.h
+++ b/example/toy.h
@@ -48,6 +48,7 @@
   std::string roster() const;  // the whole list
   std::string idOf(int store) const { return "toy-" + std::to_string(store); }
   int executions(int store) const;
+  std::size_t connections(int store) const { return stores_[static_cast<std::size_t>(store)]->connections.size(); }
 
   // How far a replica's data is behind, in its reports and answers.
   void lag(int store, Span by) { stores_[static_cast<std::size_t>(store)]->lag = by; }
--- a/tests/cql_front.cpp
+++ b/tests/cql_front.cpp
@@ -296,9 +296,33 @@
   std::printf("memory at most 32 MB: %s\n", d.peakKb() <= 32 * 1024 ? "yes" : std::to_string(d.peakKb()).c_str());
 }
 
+// A store that drains finishes what it has, gets nothing new on old streams, and loses its connections.
+void doorDrains() {
+  Door d(2);
+  CqlClient c(d);
+  for (int k = 0; k < 40; ++k) c.query(selectOf("a"), {}, k);
+  for (int k = 0; k < 40; ++k) c.answer(k);
+  int out = d.toy.executions(1), stream = 100;
+  while (d.toy.executions(1) == out) {
+    c.query(selectOf("slow800"), {}, stream++);
+    d.pass(20);
+  }
+  std::printf("connected to it: %s\n", d.toy.connections(1) > 0 ? "yes" : "no");
+  d.toy.setState(1, "draining");
+  d.until("told", [&] { return d.logged("state=draining"); });
+  int before = d.toy.executions(1), right = 0;
+  for (int k = 0; k < 40; ++k) c.query(selectOf("b"), {}, k);
+  for (int k = 0; k < 40; ++k) right += c.answer(k).starts_with("row");
+  std::printf("while it drains: %d of 40, %d sent to it\n", right, d.toy.executions(1) - before);
+  int kept = 0;
+  for (int k = 100; k < stream; ++k) kept += c.answer(k).starts_with("row");
+  std::printf("what was out: %s\n", kept == stream - 100 ? "all answered" : "not all answered");
+  d.until("its connections are closed", [&] { return d.toy.connections(1) == 0; });
+}
+
 constexpr Case kCases[] = {{"doorServes", doorServes},     {"doorStreams", doorStreams},   {"doorSystem", doorSystem},
                            {"doorOutcomes", doorOutcomes}, {"doorPrepared", doorPrepared}, {"doorPages", doorPages},
-                           {"doorBadInput", doorBadInput}, {"doorPasswords", doorPasswords}, {"doorCrowd", doorCrowd}};
+                           {"doorBadInput", doorBadInput}, {"doorPasswords", doorPasswords}, {"doorCrowd", doorCrowd}, {"doorDrains", doorDrains}};
 
 }  // namespace
 
