--- /dev/null
+++ b/src/ledger/marks.cpp
@@ -0,0 +1,33 @@
+#include "ledger/marks.h"
+
+namespace reedchute::ledger {
+
+void Marks::forgetOld(TimePoint at) {
+  while (!inOrder_.empty() && (inOrder_.front().first <= at || until_.size() > most_)) {
+    auto [until, mark] = inOrder_.front();
+    inOrder_.pop_front();
+    auto it = until_.find(mark);
+    if (it == until_.end() || it->second != until) continue;  // billed again since, after its window
+    if (until > at) ++forgotten_;
+    until_.erase(it);
+  }
+}
+
+void Marks::remember(std::uint64_t mark, Span window, TimePoint at) {
+  if (mark == 0 || window <= Span{}) return;
+  until_[mark] = at + window;
+  inOrder_.emplace_back(at + window, mark);
+}
+
+bool Marks::billed(Outcome outcome, std::uint64_t mark, Span window, TimePoint at) {
+  if (outcome != Outcome::completed) return false;
+  forgetOld(at);
+  if (mark == 0) return true;
+  auto it = until_.find(mark);
+  if (it != until_.end() && it->second > at) return false;
+  remember(mark, window, at);
+  forgetOld(at);
+  return true;
+}
+
+}  // namespace reedchute::ledger
--- /dev/null
+++ b/tests/sim_files.h
@@ -0,0 +1,92 @@
+// A folder in memory whose failures are caused one by one: each step of input or output can be the last one.
+#pragma once
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "ledger/files.h"
+
+namespace reedchute::test {
+
+struct Killed {};  // the process ends at this step
+
+class SimFiles : public ledger::Files {
+ public:
+  // The step that doesn't end any more; -1: none. Of an append a part may have been taken by then.
+  int killAt = -1;
+  int fullFrom = -1, fullTo = -1;  // steps at which the disk is full
+  int steps = 0;
+  unsigned seed = 1;
+
+  std::vector<std::string> list() override {
+    std::vector<std::string> names;
+    for (const auto& [name, file] : files_) names.push_back(name);
+    return names;
+  }
+  std::string read(const std::string& name) override { return files_.at(name).data; }
+  void append(const std::string& name, std::string_view bytes) override {
+    bool last = step();
+    File& f = files_[name];
+    if (last) {
+      f.data += bytes.substr(0, std::minstd_rand(seed + static_cast<unsigned>(steps))() % (bytes.size() + 1));
+      throw Killed{};
+    }
+    f.data += bytes;
+  }
+  void cut(const std::string& name, std::size_t size) override {
+    if (step()) throw Killed{};
+    File& f = files_[name];
+    f.data.resize(size);
+    f.synced = std::min(f.synced, size);
+    f.synced = size, f.named = true;
+  }
+  void sync(const std::string& name) override {
+    if (step()) throw Killed{};
+    File& f = files_[name];
+    f.synced = f.data.size(), f.named = true;
+  }
+
+  // What was never synced is lost, torn or there, by sectors and in any order.
+  void machineDies(unsigned by) {
+    std::minstd_rand chance(by);
+    for (auto it = files_.begin(); it != files_.end();) {
+      File& f = it->second;
+      if (!f.named && chance() % 2) {
+        it = files_.erase(it);
+        continue;
+      }
+      std::size_t length = f.synced + chance() % (f.data.size() - f.synced + 1);
+      if (chance() % 2) length = f.data.size();
+      f.data.resize(length);
+      for (std::size_t at = f.synced; at < length; at += kSector)
+        if (chance() % 3 == 0)
+          for (std::size_t k = at; k < std::min(length, at + kSector); ++k) f.data[k] = '\0';
+      f.synced = length, f.named = true;
+      ++it;
+    }
+  }
+
+  std::string& bytesOf(const std::string& name) { return files_.at(name).data; }
+  void remove(const std::string& name) { files_.erase(name); }
+  void rename(const std::string& from, const std::string& to) { files_[to] = files_.at(from), files_.erase(from); }
+
+ private:
+  struct File {
+    std::string data;
+    std::size_t synced = 0;
+    bool named = false;  // its name would survive the machine
+  };
+  static constexpr std::size_t kSector = 64;  // small, so that few records already span several
+
+  bool step() {
+    ++steps;
+    if (steps >= fullFrom && steps < fullTo) throw ledger::DiskError("no space left");
+    return steps == killAt;
+  }
+
+  std::map<std::string, File> files_;
+};
+
+}  // namespace reedchute::test
