--- a/src/doors/cql/chart.cpp
+++ b/src/doors/cql/chart.cpp
@@ -7,13 +7,14 @@
 using reedchute::cql::Kind;
 using reedchute::cql::Nature;
 
-Chart::Chart(const Given& given, Terms& terms, const Names& names)
+Chart::Chart(const Given& given, Terms& terms, Names& names)
     : mappings_(given.mappings),
       names_(names.workloads),
       workloads_(terms.workloads),
       storesDropMarks_(given.storesDropMarks) {
-  auto twin = [&](const Workload& w) {
+  auto twin = [&](const Workload& w, int of) {
     terms.workloads.push_back(w);
+    names.standsFor.push_back(of);
     return static_cast<int>(terms.workloads.size()) - 1;
   };
   for (std::size_t k = 0; k < workloads_.size(); ++k) {
@@ -22,13 +23,13 @@
     if (w.effect != Effect::nonIdempotent) {
       Workload o = w;
       o.effect = Effect::nonIdempotent;
-      once = twin(o);
+      once = twin(o, self);
     }
     // A read at any age or within a bound has no promise from one page to the next; this row gives it one.
     if (w.level == Level::any || w.level == Level::bounded) {
       Workload p = w;
       p.level = Level::session;
-      paged = twin(p);
+      paged = twin(p, self);
     }
     once_.push_back(once), paged_.push_back(paged);
   }
@@ -36,7 +37,7 @@
   prepare.effect = Effect::idempotent;
   prepare.slo = workloads_.front().slo;
   for (const Workload& w : workloads_) prepare.slo = std::min(prepare.slo, w.slo);
-  prepare_ = twin(prepare);
+  prepare_ = twin(prepare, -1);
 }
 
 std::optional<std::string> Chart::placeGroup(const Told& told, const Mapping* m, const Index<std::int64_t>& groups,
--- a/src/doors/cql/chart.h
+++ b/src/doors/cql/chart.h
@@ -35,8 +35,9 @@
 // statement's nature forbids, or a page that must be as fresh as the one before.
 class Chart {
  public:
-  // Adds the rows to `terms`; `names` keeps only those that clients may name.
-  Chart(const Given& given, Terms& terms, const Names& names);
+  // Adds the rows to `terms`; `names` keeps only those that clients may name, and learns what
+  // the others stand for.
+  Chart(const Given& given, Terms& terms, Names& names);
 
   // Preparing a text: a read of no age at any member of the group.
   std::optional<std::string> placePrepare(const Told& told, const Index<std::int64_t>& groups, Placed& into) const;
--- a/src/doors/cql/take_in.cpp
+++ b/src/doors/cql/take_in.cpp
@@ -196,8 +196,9 @@
     if (name == "r") r.taken.arrival.repeated = value == "1";
     if (name == "session") r.taken.arrival.session = sessionOf(value);
     if (name == "tenant") {
+      r.taken.tenant = value.substr(0, exchange::kMostTenant);
       r.taken.arrival.tenant = placeOf(names_.tenants, value);
-      if (r.taken.arrival.tenant < 0) return r.refuse(cql::kInvalid, "an unknown tenant");
+      if (r.taken.arrival.tenant < 0 && !names_.tenants.empty()) return r.refuse(cql::kInvalid, "an unknown tenant");
     }
     if (name == "cluster") number(value, r.told.group);
     if (name == "after") number(value, r.afterMs);
@@ -240,6 +241,7 @@
   if (why) return r.refuse(cql::kInvalid, *why);
   Arrival& a = r.taken.arrival;
   a.workload = placed.workload, a.group = placed.group;
+  r.taken.mark = exchange::markOf(r.taken.tenant, groups_.id(placed.group), r.told.mark);
   a.giveUpAt = r.now + (r.waitMs ? Span{*r.waitMs * 1000} : placed.timeout ? *placed.timeout : given_.timeout);
   // Danger: a commit's time is rounded up and may lie ahead of this clock; it is a write all the same.
   auto since = [&](TimePoint position) { return std::max(Span{1}, r.now - position); };
--- a/src/doors/pg/take_in.cpp
+++ b/src/doors/pg/take_in.cpp
@@ -69,6 +69,9 @@
   query->text = text;
   query->waitAt = f.waitAt, query->waitSize = f.waitSize;
   taken.id = f.id;
+  taken.tenant = f.tenant.substr(0, exchange::kMostTenant);
+  taken.mark = exchange::markOf(taken.tenant, *f.group, f.mark);
+  a.tenant = placeOf(names_.tenants, taken.tenant);
   taken.request = std::move(query);
   return std::nullopt;
 }
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -44,14 +44,39 @@
   virtual void aborted(int ticket) = 0;
 };
 
+inline constexpr std::size_t kMostTenant = 64;  // bytes of a tenant's name
+
 // A statement that was understood.
 struct Taken {
   std::string id;  // empty: none was given
   Speech speech = 0;
   std::unique_ptr<Request> request;
   Arrival arrival;
+  std::string tenant;      // as it was told, also where the settings know no such one
+  std::uint64_t mark = 0;  // a hash of tenant, group and mark; 0: it has none
+};
+
+// A statement's final answer, as use is counted.
+struct Metered {
+  std::string_view tenant;
+  int workload = -1;
+  std::int64_t group = -1;  // as the list names it
+  bool completed = false, rejected = false;  // neither: aborted, or an error that blames the statement
+  std::uint64_t bytesIn = 0, bytesOut = 0, mark = 0;
+  std::uint32_t executions = 0, protocol = 0;
 };
 
+// Whoever counts use. It is told before the answer goes to the client.
+class Meter {
+ public:
+  virtual ~Meter() = default;
+  virtual bool admits() const = 0;  // false: statements are to be refused, as they couldn't be counted
+  virtual void answered(const Metered& m) = 0;
+};
+
+// The hash that stands for a mark; never 0.
+std::uint64_t markOf(std::string_view tenant, std::int64_t group, std::string_view mark);
+
 // Where clients' connections bring what they were asked.
 class Desk {
  public:
--- /dev/null
+++ b/src/exchange/mark.cpp
@@ -0,0 +1,18 @@
+#include <xxhash.h>
+
+#include "exchange/exchange.h"
+
+namespace reedchute::exchange {
+
+std::uint64_t markOf(std::string_view tenant, std::int64_t group, std::string_view mark) {
+  if (mark.empty()) return 0;
+  std::string text(tenant);
+  text += '\0';
+  text += std::to_string(group);
+  text += '\0';
+  text += mark;
+  std::uint64_t hash = XXH3_64bits(text.data(), text.size());
+  return hash == 0 ? 1 : hash;
+}
+
+}  // namespace reedchute::exchange
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -79,6 +79,7 @@
 Front::Front(Given given)
     : given_(std::move(given)),
       rules_(given_.terms, scheduler_.now()),
+      relay_(groups_),
       book_(scheduler_, rules_, relay_),
       stores_(scheduler_, book_, storeLimits(given_)),
       protocols_(protocolsOf(given_, {scheduler_, *this, stores_, storeIds_, groups_, book_.openIds()})),
@@ -90,6 +91,10 @@
             given_.memory / kListPart),
       told_(scheduler_) {
   route_.list(&list_);
+  if (given_.ledger) {
+    ledger_ = std::make_unique<ledger::Feed>(*given_.ledger, given_.names, given_.terms);
+    relay_.meter(ledger_.get());
+  }
   std::size_t places = clientPlaces(given_), reserved = 0;
   for (const auto& p : protocols_) reserved += p->connections();
   if (reserved * 2 > places) throw Malformed("the doors' connections need more than half of the places for clients");
@@ -127,6 +132,7 @@
   scheduler_.spawn(leave());
   scheduler_.spawn(tally());
   scheduler_.spawn(sweep());
+  scheduler_.spawn(watchLedger());
   for (std::size_t k = 0; k < clients_.size(); ++k) {
     int port = clients_[k]->listen(protocols_[k]->listen());
     protocols_[k]->listening(port);
@@ -192,16 +198,39 @@
   }
 }
 
+// The ledger's state is told as soon as it is another; its figures with the tally.
+sched::Task<> Front::watchLedger() {
+  while (ledger_) {
+    if (ledger_->state().is != ledgerWas_.is) tellLedger();
+    co_await sched::sleepUntil(scheduler_, scheduler_.now() + given_.terms.tick * 4);
+  }
+}
+
 sched::Task<> Front::tally() {
   for (;;) {
     co_await sched::sleepUntil(scheduler_, scheduler_.now() + kTallyEvery);
     log::line("tally", "taken=%llu open=%zu sessions=%zu store_connections=%zu stores=%zu gone=%zu",
               static_cast<unsigned long long>(taken_), book_.openCount(), sessions(),
               stores_.connections(), storeIds_.size(), gone_.size());
+    if (ledger_) tellLedger();
     log::flushCounts();
   }
 }
 
+void Front::tellLedger() {
+  ledger::FeedState s = ledger_->state();
+  if (s.is != ledgerWas_.is)
+    log::line("ledger", "state=%s what=\"%s\"", ledger::nameOf(s.is), s.what.c_str());
+  if (s.lost != ledgerWas_.lost)
+    log::line("ledger_lost", "entries=%llu", static_cast<unsigned long long>(s.lost));
+  if (s.jumps != ledgerWas_.jumps) log::line("ledger_clock", "jumps=%llu", static_cast<unsigned long long>(s.jumps));
+  if (s.diskErrors != ledgerWas_.diskErrors)
+    log::line("ledger_disk", "errors=%llu", static_cast<unsigned long long>(s.diskErrors));
+  log::line("ledger_tally", "written=%llu durable=%llu ring_free=%zu", static_cast<unsigned long long>(s.written),
+            static_cast<unsigned long long>(s.durable), s.ringFree);
+  ledgerWas_ = s;
+}
+
 int Front::admit(exchange::Taken taken, exchange::Asker& asker, int ticket) {
   // Danger: statements whose answers are long would together take all memory there is.
   if (book_.held() + stages::Book::costOf(taken.request->size()) > given_.memory / kStatementPart) {
@@ -209,6 +238,12 @@
     asker.rejected(ticket, Span{});
     return -1;
   }
+  // Where operators would rather refuse than serve what can't be billed.
+  if (ledger_ && !ledger_->admits()) {
+    log::line("ledger_refuses", "open=%zu", book_.openCount());
+    asker.rejected(ticket, given_.terms.connectTimeout);
+    return -1;
+  }
   ++taken_;
   return admit_.admit(std::move(taken), asker, ticket, scheduler_.now());
 }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -55,6 +55,8 @@
   void reload();
   sched::Task<> leave();
   sched::Task<> tally();
+  void tellLedger();
+  sched::Task<> watchLedger();
   sched::Task<> sweep();
 
   Given given_;
@@ -64,6 +66,7 @@
   std::map<int, TimePoint> gone_;  // stores that the list has dropped, and since when
   Index<std::int64_t> groups_;
   Rules rules_;
+  std::unique_ptr<ledger::Feed> ledger_;
   stages::Relay relay_;
   stages::Book book_;
   peers::Stores stores_;
@@ -75,6 +78,7 @@
   peers::List list_;
   sched::Event told_;  // a signal to end has come
   std::uint64_t taken_ = 0;
+  ledger::FeedState ledgerWas_;
 };
 
 }  // namespace reedchute::front
--- a/src/front/given.cpp
+++ b/src/front/given.cpp
@@ -10,6 +10,7 @@
 #include "base/number.h"
 #include "doors/cql/settings.h"
 #include "hcl/settings.h"
+#include "ledger/settings.h"
 
 namespace reedchute::front {
 namespace {
@@ -43,7 +44,10 @@
   hcl::Block file = hcl::readFile(path);
   hcl::Section all(path, file);
   std::vector<hcl::Section> doors = all.blocks("cassandra");
+  std::vector<hcl::Section> ledgers = all.blocks("ledger");
   all.done();
+  if (ledgers.size() > 1) all.fail("ledger", "stands twice");
+  if (!ledgers.empty()) g.ledger = ledger::feedFrom(ledgers.front(), g.name);
   if (doors.size() > 1) all.fail("cassandra", "stands twice");
   if (doors.empty()) return;
   g.cassandra = doors::cql::givenFrom(doors.front());
--- a/src/front/given.h
+++ b/src/front/given.h
@@ -8,6 +8,7 @@
 
 #include "doors/cql/chart.h"
 #include "doors/cql/given.h"
+#include "ledger/feed.h"
 #include "peers/list.h"
 #include "rules.h"
 #include "terms/terms.h"
@@ -29,6 +30,7 @@
   // From our own settings, where there are any.
   std::optional<doors::cql::Given> cassandra;
   std::optional<doors::cql::Chart> chart;
+  std::optional<ledger::FeedGiven> ledger;
 };
 
 // Reads the file at `path`; throws Malformed with one plain line where it is missing or makes no sense.
--- a/src/ledger/ring.cpp
+++ b/src/ledger/ring.cpp
@@ -4,6 +4,7 @@
 
 #include <cstring>
 #include <new>
+#include <vector>
 
 namespace reedchute::ledger {
 namespace {
@@ -95,6 +96,26 @@
   }
 }
 
+std::uint64_t Ring::dropUnreadable() {
+  std::uint64_t place = goneTo();
+  while (auto e = next(place)) place = e->place;
+  std::uint64_t dropped = putTo() - place;
+  if (dropped == 0) return 0;
+  Head& h = head();
+  // What can be read before it is kept: it is put anew.
+  std::vector<std::string> kept;
+  for (std::uint64_t k = goneTo();; ++k) {
+    auto e = next(k);
+    if (!e) break;
+    kept.push_back(std::move(e->bytes));
+  }
+  h.put = h.gone.load();
+  h.putBytes = h.goneBytes.load();
+  for (const std::string& bytes : kept) put(bytes);
+  // Danger: a place is never used twice.
+  return dropped;
+}
+
 void Ring::letGo(std::uint64_t place) {
   Head& h = head();
   for (std::uint64_t gone = h.gone.load(std::memory_order_relaxed); gone < place; ++gone) {
--- a/src/ledger/ring.h
+++ b/src/ledger/ring.h
@@ -28,6 +28,8 @@
   // The oldest that was not let go, or the one behind `after`. Nothing where there is none, or where what stands there
   // was not put whole.
   std::optional<Entry> next(std::uint64_t after = 0) const;
+  // Lets go all from the first that isn't whole; how many. Not while another thread puts.
+  std::uint64_t dropUnreadable();
   // All up to this place are in the log.
   void letGo(std::uint64_t place);
 
--- a/src/pg/statement.cpp
+++ b/src/pg/statement.cpp
@@ -30,6 +30,7 @@
     if (name == "id") f.id = value;
     if (name == "c") f.workload = value;
     if (name == "k") f.mark = value;
+    if (name == "tenant") f.tenant = value;
     if (name == "r") f.repeated = value == "1";
     if (name == "cluster" && !integer(value, f.group)) return false;
     if (name == "after" && !integer(value, f.afterMs)) return false;
--- a/src/pg/statement.h
+++ b/src/pg/statement.h
@@ -10,7 +10,7 @@
 
 // The fields of the comment, as views into the text, and where the digits of `d` stand.
 struct Fields {
-  std::string_view id, workload, mark, key;  // `key`: the first quoted literal
+  std::string_view id, workload, mark, key, tenant;  // `key`: the first quoted literal
   std::optional<std::int64_t> waitMs, group, afterMs;
   bool repeated = false;
   std::size_t waitAt = 0, waitSize = 0;
--- a/src/stages/admit.cpp
+++ b/src/stages/admit.cpp
@@ -11,6 +11,8 @@
   st.id = std::move(taken.id);
   st.speech = taken.speech;
   st.request = std::move(taken.request);
+  st.workload = taken.arrival.workload, st.group = taken.arrival.group;
+  st.tenant = std::move(taken.tenant), st.mark = taken.mark;
   st.open = true;
   int stmt = book_.enter(std::move(st));
   rules_.arrived(stmt, taken.arrival, now);
--- a/src/stages/statement.h
+++ b/src/stages/statement.h
@@ -15,6 +15,9 @@
   std::string id;
   exchange::Speech speech = 0;
   std::unique_ptr<exchange::Request> request;  // as it came
+  int workload = -1, group = -1;
+  std::string tenant;
+  std::uint64_t mark = 0;
   bool open = false;
   int out = 0;
   std::vector<exchange::Job*> jobs;  // by the execution's number; none where it has ended
--- a/src/terms/terms.h
+++ b/src/terms/terms.h
@@ -26,6 +26,7 @@
 // Names that the settings list; an index into a list is what the module knows.
 struct Names {
   std::vector<std::string> workloads, tenants, zones;
+  std::vector<int> standsFor;  // of rows beyond these: the one that a row was made from
   std::vector<char> marked;  // the workloads whose statements carry a mark by which repeats are dropped
 };
 
--- a/tests/cql_units.cpp
+++ b/tests/cql_units.cpp
@@ -33,7 +33,7 @@
   t.workloads = {any, near, mine, write, once};
   return t;
 }
-const Names kNames{.workloads = {"any", "near", "mine", "write", "once"}, .tenants = {"coop"}, .zones = {}, .marked = {}};
+const Names kNames{.workloads = {"any", "near", "mine", "write", "once"}, .tenants = {"coop"}, .zones = {}, .standsFor = {}, .marked = {}};
 
 std::string rowName(const Terms& t, int row) {
   static constexpr const char* kLevels[] = {"any", "bounded", "session", "fresh", "write"};
@@ -51,7 +51,8 @@
     g.mappings = {{"weather", "history", {Kind::read}, {1}, "near", 7, 0, Span{100'000}},
                   {"weather", "history", {Kind::read}, {}, "any", 7, 0, {}},
                   {"weather", "", {Kind::write, Kind::batch, Kind::counter, Kind::conditional}, {}, "write", 8, 0, {}}};
-    Chart c(g, t, kNames);
+    Names names = kNames;
+    Chart c(g, t, names);
     Index<std::int64_t> groups;
     groups.add(7), groups.add(8);
     std::printf("-- stores %s repeats by their marks; %zu rows for 5 workloads\n", marks ? "drop" : "don't drop",
@@ -213,7 +214,8 @@
   g.timeout = Span{2'000'000};
   g.batchMost = 3;
   g.mappings = {{"weather", "", {Kind::read}, {}, "any", 7, 0, {}}, {"weather", "", {}, {}, "write", 7, 0, Span{300'000}}};
-  Chart c(g, t, kNames);
+  Names names = kNames;
+  Chart c(g, t, names);
   Index<std::int64_t> groups;
   groups.add(7);
   exchange::OpenIds open = {"taken"};
--- a/tests/drive.h
+++ b/tests/drive.h
@@ -130,6 +130,16 @@
     for (TimePoint end = s.now() + Span{ms * 1000}; s.now() < end;) s.pass(s.now() + Span{2000}, [] {});
   }
   void signal(int number) { kill(child_, number); }
+  // The process ends at once; another is started with the same settings.
+  void killAndStart() {
+    kill(child_, SIGKILL);
+    waitpid(child_, nullptr, 0);
+    child_ = -1;
+    log_.reset();  // before the fork: a copy of it in the child would go on reporting to what is gone
+    log.clear();
+    unlink(path_.c_str()), unlink((path_ + ".hcl").c_str());
+    start(sockets_);
+  }
   // How the front ended, once it has.
   void exits() {
     int status = -1;
--- a/tests/ledger.cpp
+++ b/tests/ledger.cpp
@@ -390,8 +390,10 @@
 };
 
 // Killed at step `kill`, started again, and played to its end.
-std::string crashAt(int kill, unsigned machineSeed, bool machine, bool* ended) {
+std::string crashAt(int kill, unsigned machineSeed, bool machine, bool* ended,
+                    SimFiles::Taken taken = SimFiles::Taken::some) {
   World w;
+  w.files.taken = taken;
   w.files.killAt = kill, w.files.seed = machineSeed;
   int lost = 0;
   *ended = false;
@@ -424,8 +426,11 @@
   int steps = 0, wrong = 0;
   for (bool ended = false; !ended;) {
     ++steps;
-    std::string said = crashAt(steps, static_cast<unsigned>(steps), false, &ended);
-    if (!said.empty()) std::printf("killed at step %d: %s\n", steps, said.c_str()), ++wrong;
+    // In the middle of an append none of it, some or all may have been taken.
+    for (auto taken : {SimFiles::Taken::none, SimFiles::Taken::some, SimFiles::Taken::all}) {
+      std::string said = crashAt(steps, static_cast<unsigned>(steps), false, &ended, taken);
+      if (!said.empty()) std::printf("killed at step %d: %s\n", steps, said.c_str()), ++wrong;
+    }
   }
   std::printf("the process killed at each of its steps: %s\n", wrong == 0 ? "totals equal what was counted" : "wrong");
   std::printf("more than fifty steps: %s\n", steps > 50 ? "yes" : "no");
@@ -441,7 +446,7 @@
 }
 
 void crashes() { crash(1); }
-void crashesMany() { crash(20); }
+void crashesMany() { crash(40); }
 
 void corrections() {
   SimFiles f;
--- /dev/null
+++ b/tests/ledger_front.cpp
@@ -0,0 +1,176 @@
+// A whole front with its ledger on, killed in the middle: what its clients counted is what is billed.
+#include <filesystem>
+
+#include "cql_client.h"
+#include "ledger/keeper.h"
+#include "pg/messages.h"
+#include "trace.h"
+
+using namespace reedchute;
+using test::Case;
+using test::CqlClient;
+using test::Drive;
+using test::program;
+using test::runCase;
+
+namespace {
+
+// A folder for a ledger and its key, gone at the end.
+struct Place {
+  Place() {
+    char name[] = "/tmp/reedchute-ledger-XXXXXX";
+    path = mkdtemp(name);
+    std::ofstream(path + "/key") << "0123456789abcdef0123456789abcdef\n";
+  }
+  ~Place() { std::filesystem::remove_all(path); }
+  std::string door(const char* more = "") const {
+    return std::string(test::kDoor) + "ledger {\n  folder = \"" + path + "/ledger\"\n  key_file = \"" + path +
+           "/key\"\n  period = \"hour\"\n" + more + "}\n";
+  }
+  // What the ledger says of a tenant, over all periods.
+  ledger::Used used(const std::string& tenant) const {
+    ledger::Totals t;
+    auto files = ledger::filesToRead(path + "/ledger");
+    ledger::Log log(*files, {"0123456789abcdef0123456789abcdef"});
+    auto found = log.verify([&](const ledger::wire::Record& r) { t.add(r); });
+    if (!found.empty()) std::printf("the log: %s\n", ledger::nameOf(found.front().what));
+    ledger::Used all;
+    for (const auto& [key, u] : t.all())
+      if (key.second == tenant) all += u;
+    return all;
+  }
+  std::string path;
+};
+
+struct Metered : Drive {
+  explicit Metered(const Place& p, const char* more = "")
+      : Drive(3, 256, "automatic", "", false, 64, "15000000", p.door(more)) {
+    until("the ledger is open", [&] { return logged("ledger state=open"); });
+  }
+};
+
+class Postgres {
+ public:
+  explicit Postgres(Drive& drive) : d(drive), socket(d.s, sched::startConnect(*sched::parseAddress("127.0.0.1:" + std::to_string(d.port)))) {
+    d.until("connected", [&] {
+      sockaddr_in peer{};
+      socklen_t size = sizeof peer;
+      return getpeername(socket.fd(), reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+    });
+    socket.write(pg::startup("web", "orders"));
+    get();
+  }
+  // True where it completed.
+  bool ask(const std::string& tenant, const std::string& key, const std::string& mark = "") {
+    std::string tail = " /* id=" + std::to_string(++ids) + ",c=" + (mark.empty() ? "any" : "write") + ",cluster=7,d=2000,tenant=" +
+                       tenant + (mark.empty() ? "" : ",k=" + mark) + " */";
+    socket.write(pg::query(mark.empty() ? "SELECT payload FROM entries WHERE ref = '" + key + "'" + tail
+                                        : "INSERT INTO entries VALUES ('" + key + "')" + tail));
+    return get();
+  }
+  bool get() {
+    bool row = false, ready = false, ended = false;
+    d.until("an answer", [&] {
+      ended = socket.read(in, 1 << 20) == sched::Socket::Got::ended;
+      pg::Message m;
+      while (!ready && pg::frame(in, 1 << 20, m) == pg::Framed::whole) {
+        row |= m.type == 'D', ready = m.type == 'Z';
+        in.erase(0, m.whole.size());
+      }
+      return ready || ended;
+    });
+    return row;
+  }
+  Drive& d;
+  sched::Socket socket;
+  std::string in;
+  static inline int ids = 900'000;
+};
+
+void tell(const char* who, const ledger::Used& u, int counted) {
+  std::printf("%s: counted %d, billed %lld, repeats %lld, rejected %lld, aborted %lld\n", who, counted,
+              static_cast<long long>(u.statements), static_cast<long long>(u.repeats), static_cast<long long>(u.rejected),
+              static_cast<long long>(u.aborted));
+}
+
+void bills() {
+  Place place;
+  int coop = 0, office = 0;
+  {
+    Metered d(place);
+    Postgres c(d);
+    for (int k = 0; k < 10; ++k) coop += c.ask("coop", "a");
+    coop += c.ask("coop", "b", "mark-1");
+    std::printf("the same mark again: %s\n", c.ask("coop", "b", "mark-1") ? "completed" : "not");
+    CqlClient cql(d);
+    for (int k = 0; k < 7; ++k) {
+      std::string body, answer;
+      cql::addBytesMap(body, {{"tenant", "office"}, {"c", "any"}, {"cluster", "7"}});
+      cql::addLongString(body, test::selectOf("x"));
+      cql.send(1, cql::Opcode::query, body + std::string("\0\1\0", 3), cql::kPayload);
+      office += cql.answer(1).starts_with("row");
+    }
+    std::printf("full everywhere: %s\n", c.ask("coop", "full") ? "completed" : "not");
+    d.signal(SIGTERM);
+    c.socket.close(), cql.socket->close();
+    d.exits();
+  }
+  tell("coop", place.used("coop"), coop);
+  tell("office", place.used("office"), office);
+}
+
+// Killed outright in between, again and again: all that was answered is there, once.
+void killed() {
+  Place place;
+  int counted = 0, repeated = 0, mark = 0;
+  Metered d(place);
+  for (int round = 0; round < 5; ++round) {
+    Postgres c(d);
+    for (int k = 0; k < 20; ++k) counted += c.ask("coop", "a", "m" + std::to_string(++mark));
+    // The last answer is asked for again after the front has died: the same mark, another front.
+    d.killAndStart();
+    d.until("the ledger is open", [&] { return d.logged("ledger state=open"); });
+    Postgres again(d);
+    repeated += again.ask("coop", "a", "m" + std::to_string(mark));
+  }
+  d.signal(SIGTERM);
+  d.exits();
+  std::printf("asked again under a mark that was answered: %d\n", repeated);
+  tell("coop", place.used("coop"), counted);
+}
+
+// A ledger that can't be believed: served on and counted as lost, or refused, as the operators chose.
+void closed() {
+  for (const char* choice : {"", "  when_behind = \"refuse\"\n"}) {
+    Place place;
+    {
+      Metered d(place);
+      Postgres c(d);
+      for (int k = 0; k < 5; ++k) c.ask("coop", "a");
+      d.signal(SIGTERM);
+      c.socket.close();
+      d.exits();
+    }
+    {
+      std::fstream log(place.path + "/ledger/ledger-00000001.log", std::ios::in | std::ios::out | std::ios::binary);
+      log.seekp(150);
+      log.put('\x7e');
+    }
+    Drive d(3, 256, "automatic", "", false, 64, "15000000", place.door(choice));
+    d.until("the ledger is closed", [&] { return d.logged("ledger state=closed what=\"damaged bytes in ledger-00000001.log"); });
+    Postgres c(d);
+    bool completed = c.ask("coop", "a");
+    std::printf("%s: a read is %s\n", *choice ? "refuse" : "serve", completed ? "completed" : "not completed");
+    if (!*choice) std::printf("told as lost: %s\n", d.until("lost", [&] { return d.logged("ledger_lost entries=1"); }) ? "yes" : "no");
+  }
+}
+
+constexpr Case kCases[] = {{"ledgerBills", bills}, {"ledgerKilled", killed}, {"ledgerClosed", closed}};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2) return 2;
+  program = argv[1];
+  return runCase(kCases, argc - 1, argv + 1);
+}
--- a/tests/sim_files.h
+++ b/tests/sim_files.h
@@ -16,6 +16,7 @@
  public:
   // The step that doesn't end any more; -1: none. Of an append a part may have been taken by then.
   int killAt = -1;
+  enum class Taken { none, some, all } taken = Taken::some;  // of the append that it is killed in
   int fullFrom = -1, fullTo = -1;  // steps at which the disk is full
   int steps = 0;
   unsigned seed = 1;
@@ -30,7 +31,8 @@
     bool last = step();
     File& f = files_[name];
     if (last) {
-      f.data += bytes.substr(0, std::minstd_rand(seed + static_cast<unsigned>(steps))() % (bytes.size() + 1));
+      std::size_t part = std::minstd_rand(seed + static_cast<unsigned>(steps))() % (bytes.size() + 1);
+      f.data += bytes.substr(0, taken == Taken::none ? 0 : taken == Taken::all ? bytes.size() : part);
       throw Killed{};
     }
     f.data += bytes;
