--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -8,7 +8,6 @@
 #include <cstdio>
 #include <fstream>
 #include <functional>
-#include <iterator>
 #include <nlohmann/json.hpp>
 
 #include "doors/cql/settings.h"
@@ -27,9 +26,7 @@
 constexpr std::uint64_t kProgressEvery = 1'000'000;
 
 std::string keyFrom(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  std::string key{std::istreambuf_iterator<char>(file), {}};
-  while (!key.empty() && (key.back() == '\n' || key.back() == '\r')) key.pop_back();
+  std::string key = keyInFile(path);
   if (key.empty()) throw Malformed(path + ": no key in it");
   return key;
 }
--- a/src/ledger/settings.cpp
+++ b/src/ledger/settings.cpp
@@ -9,16 +9,20 @@
 constexpr std::size_t kLeastKey = 32;
 
 std::string keyIn(hcl::Section& s, const char* name) {
-  std::string path = s.text(name);
-  std::ifstream file(path, std::ios::binary);
-  std::string key{std::istreambuf_iterator<char>(file), {}};
-  while (!key.empty() && (key.back() == '\n' || key.back() == '\r')) key.pop_back();
+  std::string key = keyInFile(s.text(name));
   if (key.size() < kLeastKey) s.fail(name, "must name a file that holds a key of 32 bytes or more");
   return key;
 }
 
 }  // namespace
 
+std::string keyInFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::string key{std::istreambuf_iterator<char>(file), {}};
+  while (!key.empty() && (key.back() == '\n' || key.back() == '\r')) key.pop_back();
+  return key;
+}
+
 FeedGiven feedFrom(hcl::Section s, const std::string& instance) {
   FeedGiven g;
   g.folder = s.text("folder");
--- a/src/ledger/settings.h
+++ b/src/ledger/settings.h
@@ -6,6 +6,9 @@
 
 namespace reedchute::ledger {
 
+// A key as it stands in a file, without the end of its line; empty where there is none.
+std::string keyInFile(const std::string& path);
+
 // Throws Malformed, with file, line and key. Reads the key files.
 FeedGiven feedFrom(hcl::Section s, const std::string& instance);
 
