--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -40,7 +40,7 @@
 constexpr double kSlowestPace = 10;  // smallest bounds between two probes of a store that is wanted
 constexpr double kLagging = 1.5;  // times the oldest a healthy replica's report can be
 constexpr double kLikely = 0.6;   // of the period learned: two reports closer than that tell no period
-constexpr double kProbeSpend = 0.03;  // of a statement's worth: probes earned by each bounded read
+constexpr double kProbeSpend = 0.1;  // of a statement's worth: probes earned by each bounded read
 constexpr double kProbesMost = 4;     // probes that one read earns at the most, and
 constexpr double kProbesCap = 16;     // that a front may have in hand
 constexpr double kLead = 0.75;    // measured replicas wanted for each bounded read in flight
@@ -122,8 +122,11 @@
 
 void Rules::entry(const Entry& e, TimePoint now) {
   Stores& S = stores_;
-  while (S.size() <= e.store) S.begin(S.size(), terms_.workloads.size(), firstLimit_, now);
   int s = e.store;
+  while (S.size() <= s) S.begin(S.size(), terms_.workloads.size(), firstLimit_, now);
+  // Danger: hundreds of fronts that meet a store together would each find it free for a read that hangs back.
+  if (many() && S.group[s] < 0)
+    S.freeAt[s] = now + smallestSlo_ * kFirstUsual * (unit(chance_) / firstLimit_);
   if (S.group[s] != e.group) {
     if (S.group[s] >= 0) std::erase(groups_[S.group[s]].members, s);
     if (static_cast<int>(groups_.size()) <= e.group) groups_.resize(e.group + 1);
@@ -209,6 +212,11 @@
   return false;
 }
 
+int Rules::hostsAtOnce(int members) const {
+  double hosts = members * kHostMargin * longWork_ / allWork_;
+  return std::clamp(static_cast<int>(hosts + 0.5), 1, std::max(1, members - 2));
+}
+
 double Rules::weightFor(int s, int stmt, TimePoint now) const {
   const Stmt& st = stmts_[stmt];
   const Workload& w = terms_.workloads[st.workload];
@@ -252,8 +260,7 @@
   int most = std::max(1, static_cast<int>(members * kLongMembers));
   int taken = std::min(most, 1 + static_cast<int>((now - st.arrived) / (w.slo * kSpill)));
   // Danger: many fronts that all fill one host first overrun it; they take hosts by the work of long reads.
-  double hosts = members * kHostMargin * longWork_ / allWork_;
-  if (firstLimit_ < 1) taken = most = std::clamp(static_cast<int>(hosts + 0.5), 1, std::max(1, members - 2));
+  if (many()) taken = most = hostsAtOnce(members);
   for (int s : g.members) {
     if (s == g.primary || stores_.listed[s] != Listed::up) continue;
     rank += !stores_.down[s] && stores_.goodShare[s] > kWell;
@@ -268,6 +275,8 @@
     else if (stores_.limit[s] < 1 ? stores_.freeAt[s] <= now : stores_.out[s] < stores_.limit[s] * kHostShare)
       hosting.push_back(s);
   }
+  // Danger: a light front hears too late that short reads fill a host; there they take hosts like any other.
+  if (many()) fit.insert(fit.end(), hosting.begin(), hosting.end()), hosting.clear();
   if (!hosting.empty() || !fit.empty()) return fewest(hosting.empty() ? fit : hosting, stmt, now);
   // Reads await a probe answer that is under way, but not for long.
   if (!known && awaited && now - st.arrived < w.slo * kSearchGap) return -1;
@@ -381,30 +390,46 @@
   for (GroupState& g : groups_) {
     bool lost = !primaryUsable(g, now), writes = false;
     double unplaced = 0, have = 0;
+    int first = -1, rank = 0, hosts = anyLongRead() ? hostsAtOnce(static_cast<int>(g.members.size())) : 0;
     for (int stmt : g.waiting) {
       Level level = terms_.workloads[stmts_[stmt].workload].level;
-      unplaced += level == Level::bounded;
+      if (level == Level::bounded && unplaced++ == 0) first = stmt;
       writes |= level == Level::write || level == Level::fresh;
     }
-    std::vector<int> due;
+    std::vector<std::pair<Span, int>> due;
     for (int s : g.members) {
       bool young = now - stores_.position[s] < smallestBound_ * kReentry;
       // One looked at in vain just now counts too: when all stand at one commit, one look is enough.
       bool looked = now - stores_.probedAt[s] < smallestBound_ * kFirstPace;
-      have += stores_.probing[s] || (s != g.primary && (young || looked));
+      // Danger: at many fronts most replicas have no room for one more read from here; fresh or not, they are
+      // no help, and a look in vain at one of them tells little of the next.
+      bool helps = !many() || first < 0 || room(s, first, now);
+      have += stores_.probing[s] || (s != g.primary && helps && (young || (looked && !many())));
+      bool serves = stores_.listed[s] == Listed::up && !stores_.down[s] && stores_.goodShare[s] > kWell;
+      rank += s != g.primary && serves;
       if (stores_.probing[s] || stores_.listed[s] != Listed::up) continue;
       if (stores_.down[s] && stores_.blockedUntil[s] <= now) stores_.probing[s] = 1, out.probe(s);
       if (stores_.down[s] || now < stores_.probeDue[s]) continue;
+      if (!helps && !(lost && writes)) continue;
+      Span lag = boundedDrained(s) ? smallestBound_ : Span{};
+      if (many() && stores_.position[s] == kNever)
+        lag = smallestBound_ * (rank <= hosts ? kSlowestPace : kLagging);
+      else if (many() && boundedDrained(s))
+        lag = stores_.probedAt[s] - stores_.position[s];
       if (stores_.position[s] == kNever || (!young && s != g.primary && usable(s, now)) || (lost && writes))
-        due.push_back(s);
+        due.emplace_back(lag, s);
     }
     // Danger: with many fronts, each with little traffic, probing all replicas costs more than the reads do.
-    auto rank = [&](int s) { return std::pair(boundedDrained(s), stores_.probeDue[s]); };
-    std::stable_sort(due.begin(), due.end(), [&](int a, int b) { return rank(a) < rank(b); });
+    // There the one that lagged least when last seen is asked first, hosts of long reads last, one at a time.
+    if (many()) std::shuffle(due.begin(), due.end(), chance_);
+    std::stable_sort(due.begin(), due.end(), [&](const auto& a, const auto& b) {
+      return std::pair(a.first, stores_.probeDue[a.second]) < std::pair(b.first, stores_.probeDue[b.second]);
+    });
     double flow = g.boundedRate * smallestBound_.seconds();
     bool wanted = !terms_.storesCheck && unplaced > 0;
     double want = wanted ? 1 + kLead * (flow + unplaced * kSoft) : 0;
-    for (int s : due) {
+    if (many()) want = std::floor(want);
+    for (auto [lag, s] : due) {
       bool fresh = stores_.position[s] == kNever && firstLimit_ >= 1;
       if (!fresh && (probeBudget_ < 1 || (have >= want && !(lost && writes && have < 1)))) continue;
       stores_.probeDue[s] = now + refresh_;
@@ -417,7 +442,7 @@
 void Rules::probed(int s, bool ok, const Report& report, TimePoint now) {
   stores_.probing[s] = 0;
   // Danger: one probe whose connection broke tells nothing; a replica unseen for long gets no bounded reads.
-  bool vain = (stores_.missed[s] = ok ? 0 : stores_.missed[s] + 1) > 1 || firstLimit_ < 1;
+  bool vain = (stores_.missed[s] = ok ? 0 : stores_.missed[s] + 1) > 1 || many();
   if (!ok) stores_.probeDue[s] = now + smallestBound_ * (vain ? kSlowestPace : kFirstPace);
   if (!ok && stores_.down[s]) stores_.dead[s] |= vain, blockStore(s, now, true);
   if (!ok) return;
@@ -463,8 +488,8 @@
   Span slo = terms_.workloads[workload].slo, &usual = typical_[workload];
   bool well = r.ending == Ending::ok || r.ending == Ending::miss || r.ending == Ending::invalid;
   // Danger: one answer spoilt or cut off is no death; but of many fronts each sees no more of one than that.
-  bool ended = r.ending == Ending::reset, many = firstLimit_ < 1;
-  bool wrong = r.ending == Ending::error || r.ending == Ending::spoilt || (ended && !many);
+  bool ended = r.ending == Ending::reset;
+  bool wrong = r.ending == Ending::error || r.ending == Ending::spoilt || (ended && !many());
   if (well || wrong || r.ending == Ending::full) S.heard[s] = now;
   if (well) healed(s, now);
   crowd_ += kLearn * 0.5 * ((r.ending == Ending::connectFailed) - crowd_);
@@ -475,20 +500,20 @@
     if (r.took > slo * kSlowAnswer)
       cutLimit(s, sent, now);
     else if (paced && S.out[s] + 1 >= S.limit[s] * 0.5)
-      S.limit[s] += std::min(S.limit[s] * kGrow, 1 / S.limit[s]);
+      setLimit(s, S.limit[s] + std::min(S.limit[s] * kGrow, 1 / S.limit[s]), now);
   } else if (wrong) {
     S.goodShare[s] -= kLearn * S.goodShare[s];
   } else if (r.ending == Ending::full) {
     cutLimit(s, sent, now);
     // Danger: a light front hears of a full queue once in seconds; one step would leave it standing.
-    if (S.limit[s] < 1 && S.cutAt[s] == now) S.limit[s] *= kCut * kCut;
+    if (S.limit[s] < 1 && S.cutAt[s] == now) setLimit(s, S.limit[s] * kCut * kCut, now);
     if (S.out[s] == 0) blockStore(s, now, false);
   } else if (r.ending == Ending::connectFailed || ended) {
-    if (!ended && (crowd_ > kCrowded || many)) crowdedAt_ = now;
+    if (!ended && (crowd_ > kCrowded || many())) crowdedAt_ = now;
     S.dead[s] |= ended;
     // What was sent before the block tells nothing new, nor one connection of a store that answers on others.
     bool first = std::exchange(S.refusedAt[s], now) <= S.heard[s] && now - S.heard[s] < smallestSlo_;
-    if (sent >= S.blockedAt[s] && sent >= S.heard[s] && (!first || many)) blockStore(s, now, true);
+    if (sent >= S.blockedAt[s] && sent >= S.heard[s] && (!first || many())) blockStore(s, now, true);
   }
 }
 
@@ -516,7 +541,14 @@
 void Rules::cutLimit(int s, TimePoint sent, TimePoint now) {
   if (sent < stores_.cutAt[s]) return;
   stores_.cutAt[s] = now;
-  stores_.limit[s] = std::max(1.0 / terms_.fronts, stores_.limit[s] * kCut);
+  setLimit(s, std::max(1.0 / terms_.fronts, stores_.limit[s] * kCut), now);
+}
+
+// Danger: work sent ahead of a pace that was cut would be owed for minutes after the pace has come back. What
+// is owed is work; how long it takes follows the pace.
+void Rules::setLimit(int s, double limit, TimePoint now) {
+  double before = std::exchange(stores_.limit[s], limit);
+  if (stores_.freeAt[s] > now) stores_.freeAt[s] = now + (stores_.freeAt[s] - now) * (before / limit);
 }
 
 // The time that must be left for a start to be of use.
@@ -639,7 +671,7 @@
       int s = e.store;  // where answers take little of the SLO time, one lost connection looks like silence
       if (!e.out || now - stores_.heard[s] < smallestSlo_ * kSilentShare) continue;
       double owed = (now - std::max(stores_.heard[s], e.sent)) / typical_[stmts_[stmt].workload];
-      missing[s] += firstLimit_ < 1 ? owed : e.sent < stores_.blockedAt[s] ? 0 : std::min(owed, kWitness);
+      missing[s] += many() ? owed : e.sent < stores_.blockedAt[s] ? 0 : std::min(owed, kWitness);
     }
   return missing;
 }
@@ -808,7 +840,8 @@
     stores_.goodShare[s] += fade * (1 - stores_.goodShare[s]);
     stores_.speed[s] += fade * (1 - stores_.speed[s]);
     double back = std::min(1.0, firstLimit_);
-    if (stores_.limit[s] < back) stores_.limit[s] += fade * (back - stores_.limit[s]);
+    if (stores_.limit[s] < back)
+      setLimit(static_cast<int>(s), stores_.limit[s] + fade * (back - stores_.limit[s]), now);
     stores_.faded[s] = now;
   }
   // Danger: idle connections of hundreds of fronts fill the tables of stores that accept few.
--- a/src/rules.h
+++ b/src/rules.h
@@ -243,6 +243,7 @@
   bool boundedDrained(int s) const;
   bool longRead(int w) const;
   bool anyLongRead() const;
+  int hostsAtOnce(int members) const;
   double weightFor(int s, int stmt, TimePoint now) const;
   int fewest(const std::vector<int>& among, int stmt, TimePoint now);
   int route(int stmt, TimePoint now);
@@ -266,7 +267,9 @@
                    TimePoint now);
   // in-flight limit and shedding
   bool room(int s, int stmt, TimePoint now) const;
+  bool many() const { return firstLimit_ < 1; }  // fronts: each sees and may send little
   void cutLimit(int s, TimePoint sent, TimePoint now);
+  void setLimit(int s, double limit, TimePoint now);
   Span startTime(int w) const;
   void countTenant(Stmt& st, TimePoint now);
   bool late(const Stmt& st, TimePoint now) const;
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -1,5 +1,6 @@
 // Each scenario prints a trace of decisions; tests/traces holds the kept ones.
 #include <cstring>
+#include <utility>
 
 #include "trace.h"
 
@@ -370,6 +371,112 @@
   }
 }
 
+// Danger: what was sent ahead of a pace that was cut stood as owed for minutes; a primary that was full for two
+// seconds got a fifth of its writes for half a minute after.
+void paceReturns() {
+  Terms t = Bench::terms({kWrite});
+  t.fronts = 300;
+  Bench b(t);
+  b.list(1);
+  b.quiet = true;
+  auto second = [&](bool full, double took) {
+    int sent = 0;
+    for (int k = 0; k < 2; ++k) {
+      b.last = -1;
+      b.arrive(0, 300);
+      b.pass(5);
+      if (b.last >= 0) ++sent, b.answer(b.lastStmt, full ? Ending::full : Ending::ok, Role::primary, 0, -1, took);
+      b.pass(495);
+    }
+    return sent;
+  };
+  b.note("300 fronts; two writes a second; the primary is well, then full for two seconds, then well again");
+  int sent = 0;
+  for (int k = 0; k < 4; ++k) sent += second(false, 30);
+  std::printf("well: %d of 8 sent\n", std::exchange(sent, 0));
+  for (int k = 0; k < 2; ++k) sent += second(true, 2);
+  std::printf("full: %d of 4 sent\n", std::exchange(sent, 0));
+  for (int k = 1; k <= 30; ++k) {
+    sent += second(false, 30);
+    if (k % 10 == 0) std::printf("%d s after: %d of 20 sent\n", k, std::exchange(sent, 0));
+  }
+}
+
+// Danger: 300 fronts that start together each found the primary free for one read that no replica was fresh for;
+// their first reads alone jammed it for four seconds.
+void firstReads() {
+  int sent[3] = {};
+  for (int front = 0; front < 300; ++front) {
+    Terms t = Bench::terms({kBounded});
+    t.fronts = 300, t.seed = static_cast<std::uint64_t>(front), t.probePrice = 0.03;
+    Bench b(t);
+    b.quiet = true;
+    b.list(1);
+    for (int k = 0; k < 3; ++k) {
+      b.last = -1;
+      b.arrive(0, 300), b.pass(20);
+      if (b.last == 0) ++sent[k], b.answer(b.lastStmt, Ending::ok, Role::primary);
+      b.pass(k == 0 ? 480 : 14'500);
+    }
+  }
+  std::printf("-- danger: 300 fronts start together, and no replica is there for their reads\n");
+  std::printf("at once: %d at the primary; after 0.5 s: %d; after 15 s: %d\n", sent[0], sent[1], sent[2]);
+}
+
+// Danger: at many fronts most replicas have no room for one more read from here. Fresh ones among them stood for
+// replicas at hand, so that none was looked for; and looks began with the hosts of long reads, which always lag.
+void looks() {
+  Workload longRead = kAny;
+  longRead.slo = ms(4000);
+  Terms t = Bench::terms({kBounded, longRead});
+  t.fronts = 100, t.probePrice = 0.01;
+  Bench b(t);
+  b.list(6);
+  b.note("a hundred fronts; the first two replicas host long reads and lag by seconds, the rest by 250 ms or not");
+  b.quiet = true;
+  for (int k = 0; k < 4; ++k) {
+    b.last = -1;
+    b.arrive(1, 300), b.pass(50);
+    if (b.last >= 0) b.answer(b.lastStmt, Ending::ok, Role::unknown, 0, -1, 1200);
+  }
+  int looked[6] = {}, served[6] = {};
+  auto look = [&](int s) {
+    ++looked[s];
+    b.report(s, s == 0 ? 30 : s < 3 ? 3000 : s == 3 ? 250 : 30, s == 0);
+  };
+  for (int k = 0; k < 40; ++k) {
+    int stmt = b.arrive(0, 300);
+    b.last = -1;
+    for (int n = 0; n < 30 && b.lastStmt != stmt; ++n) {
+      b.probed = -1, b.pass(5);
+      if (b.probed >= 0) look(b.probed);
+    }
+    if (b.lastStmt == stmt) ++served[b.last], b.answer(stmt, Ending::ok, Role::unknown, 0, -1, 60);
+    b.pass(300);
+  }
+  for (int s = 0; s < 6; ++s) std::printf("store %d: looked at %d times, %d of 40 reads\n", s, looked[s], served[s]);
+}
+
+// Danger: at many fronts short reads that all went to the hosts of long reads first filled those; a light front
+// hears of it too late. There they take hosts like any other replica.
+void hostsShared() {
+  Workload longRead = kAny;
+  longRead.slo = ms(4000);
+  std::vector<int> sent(6, 0);
+  for (int front = 0; front < 100; ++front) {
+    Terms t = Bench::terms({kAny, longRead, kBounded});
+    t.fronts = 100, t.seed = static_cast<std::uint64_t>(front);
+    Bench b(t);
+    b.quiet = true;
+    b.list(6);
+    b.pass(5000);
+    b.last = -1, b.arrive(0), b.round();
+    if (b.last >= 0) ++sent[static_cast<std::size_t>(b.last)];
+  }
+  std::printf("-- a hundred fronts send one short read each; the first replicas host long reads\n");
+  for (int s = 0; s < 6; ++s) std::printf("store %d: %d of 100\n", s, sent[static_cast<std::size_t>(s)]);
+}
+
 void fullTable() {
   Bench b(Bench::terms({kAny}));
   b.list(2);
@@ -607,6 +714,7 @@
     {"deadStore", deadStore}, {"coldDebt", coldDebt}, {"fullTable", fullTable},
     {"readAsLook", readAsLook}, {"probesEarned", probesEarned}, {"repeats", repeats},
     {"standing", standing}, {"manyFronts", manyFronts}, {"tenantShares", tenantShares},
+    {"paceReturns", paceReturns}, {"firstReads", firstReads}, {"looks", looks}, {"hostsShared", hostsShared},
     {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"places", places}, {"oneInVain", oneInVain}, {"oneConnection", oneConnection}, {"sendBy", sendBy}, {"cutOff", cutOff},
 };
 
