--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -218,6 +218,12 @@
   return std::clamp(static_cast<int>(hosts + 0.5), 1, std::max(1, members - 2));
 }
 
+// Does it take its turn as host of long reads? Members that do are its hosts in list order.
+bool Rules::mayHost(int s) const {
+  return s != groups_[stores_.group[s]].primary && stores_.listed[s] == Listed::up && !stores_.down[s] &&
+         stores_.goodShare[s] > kWell;
+}
+
 double Rules::weightFor(int s, int stmt, TimePoint now) const {
   const Stmt& st = stmts_[stmt];
   const Workload& w = terms_.workloads[st.workload];
@@ -264,7 +270,7 @@
   if (many()) taken = most = hostsAtOnce(members);
   for (int s : g.members) {
     if (s == g.primary || stores_.listed[s] != Listed::up) continue;
-    rank += !stores_.down[s] && stores_.goodShare[s] > kWell;
+    rank += mayHost(s);
     if (!usable(s, now) || (packed && (rank > taken || rank < 1))) continue;
     bool shut = bounded && stores_.position[s] > kNever && stores_.drained[s][st.workload];
     awaited |= stores_.probing[s] && !shut;
@@ -386,12 +392,22 @@
   stores_.probeDue[s] = std::max(now + pace, stores_.renewal[s]);
 }
 
+// How far behind a replica is taken to be, which says whose look is the likeliest to help. Danger: a light
+// front knows little of most; one that was never seen may be fresh, but not where it hosts long reads.
+Span Rules::supposedLag(int s, bool host) const {
+  if (!boundedDrained(s)) return {};
+  if (!many()) return smallestBound_;
+  if (stores_.position[s] == kNever) return smallestBound_ * (host ? kSlowestPace : kLagging);
+  return stores_.probedAt[s] - stores_.position[s];
+}
+
 void Rules::probeRound(TimePoint now, Writer& out) {
   if (!terms_.mayProbe) return;
+  bool packed = many() && anyLongRead();
   for (GroupState& g : groups_) {
     bool lost = !primaryUsable(g, now), writes = false;
     double unplaced = 0, have = 0;
-    int first = -1, rank = 0, hosts = anyLongRead() ? hostsAtOnce(static_cast<int>(g.members.size())) : 0;
+    int first = -1, rank = 0, hosts = packed ? hostsAtOnce(static_cast<int>(g.members.size())) : 0;
     for (int stmt : g.waiting) {
       Level level = terms_.workloads[stmts_[stmt].workload].level;
       if (level == Level::bounded && unplaced++ == 0) first = stmt;
@@ -406,19 +422,13 @@
       // no help, and a look in vain at one of them tells little of the next.
       bool helps = !many() || first < 0 || room(s, first, now);
       have += stores_.probing[s] || (s != g.primary && helps && (young || (looked && !many())));
-      bool serves = stores_.listed[s] == Listed::up && !stores_.down[s] && stores_.goodShare[s] > kWell;
-      rank += s != g.primary && serves;
+      rank += mayHost(s);
       if (stores_.probing[s] || stores_.listed[s] != Listed::up) continue;
       if (stores_.down[s] && stores_.blockedUntil[s] <= now) stores_.probing[s] = 1, out.probe(s);
       if (stores_.down[s] || now < stores_.probeDue[s]) continue;
       if (!helps && !(lost && writes)) continue;
-      Span lag = boundedDrained(s) ? smallestBound_ : Span{};
-      if (many() && stores_.position[s] == kNever)
-        lag = smallestBound_ * (rank <= hosts ? kSlowestPace : kLagging);
-      else if (many() && boundedDrained(s))
-        lag = stores_.probedAt[s] - stores_.position[s];
       if (stores_.position[s] == kNever || (!young && s != g.primary && usable(s, now)) || (lost && writes))
-        due.emplace_back(lag, s);
+        due.emplace_back(supposedLag(s, rank <= hosts), s);
     }
     // Danger: with many fronts, each with little traffic, probing all replicas costs more than the reads do.
     // There the one that lagged least when last seen is asked first, hosts of long reads last, one at a time.
@@ -431,7 +441,7 @@
     double want = wanted ? 1 + kLead * (flow + unplaced * kSoft) : 0;
     if (many()) want = std::floor(want);
     for (auto [lag, s] : due) {
-      bool fresh = stores_.position[s] == kNever && firstLimit_ >= 1;
+      bool fresh = stores_.position[s] == kNever && !many();
       if (!fresh && (probeBudget_ < 1 || (have >= want && !(lost && writes && have < 1)))) continue;
       stores_.probeDue[s] = now + refresh_;
       ++have, probeBudget_ -= !fresh;
@@ -735,13 +745,18 @@
   stores_.coldBudget[s] = -unit(chance_);
 }
 
+// What is left by now of a rate as it stood after the last arrival.
+double Rules::remembered(const GroupState& g, TimePoint now) const {
+  return std::exp(-((now - g.rated) / memory_));
+}
+
 // In statements of mean work. Danger: fronts don't see one another; each keeps to its part by a member's
-// usual work, of which a statement that comes brings a share; the last one says little of a light front's rate.
+// usual work, of which a statement that comes brings a share; the last one says little of a light front.
 void Rules::fillCold(int s, TimePoint now) {
   if (stores_.group[s] < 0 || warmth(s, now) >= 1) return;
   const GroupState& g = groups_[stores_.group[s]];
   double members = std::max<double>(1, static_cast<double>(g.members.size()));
-  double offered = g.workRate * std::exp(-((now - g.rated) / memory_));
+  double offered = g.workRate * remembered(g, now);
   double rate = terms_.coldMultiple * kColdHeadroom * warmth(s, now) * offered / (members * meanWork_);
   stores_.coldBudget[s] = std::min(stores_.coldBudget[s] + rate * (now - stores_.coldFilled[s]).seconds(),
                                    rate * terms_.coldWindow.seconds() * kColdBurst);
@@ -786,7 +801,7 @@
   double brings = typical_[a.workload].seconds();
   allWork_ += brings, longWork_ += brings * longRead(a.workload);
   GroupState& g = groups_[a.group];
-  double tau = memory_.seconds(), fade = std::exp(-((now - g.rated) / memory_));
+  double tau = memory_.seconds(), fade = remembered(g, now);
   g.rated = now;
   meanWork_ += (least_[a.workload].seconds() - meanWork_) * kLearn;
   g.workRate = g.workRate * fade + least_[a.workload].seconds() / tau;
--- a/src/rules.h
+++ b/src/rules.h
@@ -244,6 +244,7 @@
   bool longRead(int w) const;
   bool anyLongRead() const;
   int hostsAtOnce(int members) const;
+  bool mayHost(int s) const;
   double weightFor(int s, int stmt, TimePoint now) const;
   int fewest(const std::vector<int>& among, int stmt, TimePoint now);
   int route(int stmt, TimePoint now);
@@ -255,6 +256,7 @@
   void namePrimary(int g, int s, Named named, TimePoint now);
   int searchTurn(int stmt, TimePoint now);
   // probe timing
+  Span supposedLag(int s, bool host) const;
   void probeRound(TimePoint now, Writer& out);
   void lookLater(int s, Span lag, Span least, TimePoint now);
   void learnRefresh(int s, TimePoint position, TimePoint now);
@@ -286,6 +288,7 @@
   // cold share by age
   double warmth(int s, TimePoint now) const;
   void begins(int s, TimePoint at, TimePoint now);
+  double remembered(const GroupState& g, TimePoint now) const;
   void fillCold(int s, TimePoint now);
   void send(int stmt, int s, TimePoint now, Writer& out);
 
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -15,6 +15,11 @@
 const Workload kAny = Bench::work(Level::any), kBounded = Bench::work(Level::bounded);
 const Workload kFresh = Bench::work(Level::fresh), kSession = Bench::work(Level::session);
 const Workload kWrite = Bench::work(Level::write, Effect::deduplicated);
+const Workload kLongRead = [] {
+  Workload w = kAny;
+  w.slo = ms(4000);
+  return w;
+}();
 const Workload kOnce = Bench::work(Level::write, Effect::nonIdempotent);
 
 void curve() {
@@ -229,9 +234,7 @@
 }
 
 void longReads() {
-  Workload longRead = kAny;
-  longRead.slo = ms(4000);
-  Bench b(Bench::terms({longRead, kBounded}));
+  Bench b(Bench::terms({kLongRead, kBounded}));
   b.list(4);
   b.note("danger: long reads hold up a replica's log; they fill one replica before they take the next");
   b.quiet = true;
@@ -359,8 +362,6 @@
 // Danger: a debt by the dearest statement's work kept a new primary empty until it was warm, though it was told of
 // writes only; and what all fronts together send must stay under the multiple at which a cold store falls over.
 void coldPrimary() {
-  Workload longRead = kAny;
-  longRead.slo = ms(4000);
   constexpr int kFronts = 200;
   std::vector<std::unique_ptr<Bench>> fronts;
   std::ranlux24_base chance(5);
@@ -379,7 +380,7 @@
     while (b.clock < end) b.pass(5);
   };
   for (int front = 0; front < kFronts; ++front) {
-    Terms t = Bench::terms({kWrite, kAny, longRead});
+    Terms t = Bench::terms({kWrite, kAny, kLongRead});
     t.fronts = kFronts, t.seed = static_cast<std::uint64_t>(front);
     Bench& b = *fronts.emplace_back(std::make_unique<Bench>(t));
     b.quiet = true;
@@ -470,9 +471,7 @@
 // Danger: at many fronts most replicas have no room for one more read from here. Fresh ones among them stood for
 // replicas at hand, so that none was looked for; and looks began with the hosts of long reads, which always lag.
 void looks() {
-  Workload longRead = kAny;
-  longRead.slo = ms(4000);
-  Terms t = Bench::terms({kBounded, longRead});
+  Terms t = Bench::terms({kBounded, kLongRead});
   t.fronts = 100, t.probePrice = 0.01;
   Bench b(t);
   b.list(6);
@@ -504,11 +503,9 @@
 // Danger: at many fronts short reads that all went to the hosts of long reads first filled those; a light front
 // hears of it too late. There they take hosts like any other replica.
 void hostsShared() {
-  Workload longRead = kAny;
-  longRead.slo = ms(4000);
   std::vector<int> sent(6, 0);
   for (int front = 0; front < 100; ++front) {
-    Terms t = Bench::terms({kAny, longRead, kBounded});
+    Terms t = Bench::terms({kAny, kLongRead, kBounded});
     t.fronts = 100, t.seed = static_cast<std::uint64_t>(front);
     Bench b(t);
     b.quiet = true;
@@ -758,7 +755,8 @@
     {"deadStore", deadStore}, {"coldDebt", coldDebt}, {"fullTable", fullTable},
     {"readAsLook", readAsLook}, {"probesEarned", probesEarned}, {"repeats", repeats},
     {"standing", standing}, {"manyFronts", manyFronts}, {"tenantShares", tenantShares},
-    {"paceReturns", paceReturns}, {"coldPrimary", coldPrimary}, {"firstReads", firstReads}, {"looks", looks}, {"hostsShared", hostsShared},
+    {"paceReturns", paceReturns}, {"coldPrimary", coldPrimary}, {"firstReads", firstReads},
+    {"looks", looks}, {"hostsShared", hostsShared},
     {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"places", places}, {"oneInVain", oneInVain}, {"oneConnection", oneConnection}, {"sendBy", sendBy}, {"cutOff", cutOff},
 };
 
