--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -57,6 +57,8 @@
 constexpr double kAhead = 8;     // usual gaps by which writes may run ahead of a pace below one
 constexpr double kGrow = 0.3;    // of itself, by which a limit below one grows
 constexpr double kCut = 0.7;
+constexpr double kCutJam = kCut * kCut * kCut;  // where limits stand below one, and the answer tells of a jam
+constexpr double kJam = 2;  // times as slow as one that cuts at all
 constexpr double kLagCut = 0.25;     // of the bound: more lag than that cuts the limit too
 constexpr double kSlowAnswer = 0.3;  // of the SLO time: an answer slower than that cuts the limit
 constexpr double kReadShare = 0.75;  // of the primary's limit that reads may fill
@@ -172,7 +174,7 @@
     const Workload& row = terms_.workloads[w];
     if (row.level != Level::bounded) continue;
     // Danger: reads crowd the thread that applies the log; where they do, fewer of them let it catch up.
-    if (lag < row.bound && lag - known >= row.bound * kLagCut) cutLimit(s, position, now);
+    if (lag < row.bound && lag - known >= row.bound * kLagCut) cutLimit(s, position, false, now);
     if (lag >= row.bound)
       stores_.drained[s][w] = 1;
     else if (stores_.drained[s][w] && lag < row.bound * kReentry)
@@ -352,11 +354,14 @@
   int members = static_cast<int>(g.members.size());
   if (st.tries >= std::min(members, (terms_.maxExecutions + 1) / 2)) return -1;
   if (now - g.searched < terms_.workloads[st.workload].slo * kSearchGap) return -1;
+  // Danger: a jammed primary looks silent to a light front, whose writes would spend their tries on replicas.
+  Span again = terms_.workloads[st.workload].slo * kSearchAgain;
+  if (g.primary >= 0 && !stores_.down[g.primary]) again = std::max(again, stores_.block[g.primary]);
   for (int k = 0; k < members; ++k) {
     int s = g.members[(g.turn + k) % members];
     if (!usable(s, now) || !room(s, stmt, now)) continue;
     // A member that has just answered as a replica is none yet.
-    if (now - stores_.replicaAt[s] < terms_.workloads[st.workload].slo * kSearchAgain) continue;
+    if (now - stores_.replicaAt[s] < again) continue;
     g.turn = (g.turn + k + 1) % members, g.searched = now;
     return s;
   }
@@ -509,15 +514,13 @@
     S.speed[s] += kLearn * 0.5 * (r.took / usual - S.speed[s]);
     usual = usual + (std::min(r.took, slo) - usual) * (kLearn * 0.2);
     if (r.took > slo * kSlowAnswer)
-      cutLimit(s, sent, now);
+      cutLimit(s, sent, r.took > slo * kSlowAnswer * kJam, now);
     else if (paced && S.out[s] + 1 >= S.limit[s] * 0.5)
       setLimit(s, S.limit[s] + std::min(S.limit[s] * kGrow, 1 / S.limit[s]), now);
   } else if (wrong) {
     S.goodShare[s] -= kLearn * S.goodShare[s];
   } else if (r.ending == Ending::full) {
-    cutLimit(s, sent, now);
-    // Danger: a light front hears of a full queue once in seconds; one step would leave it standing.
-    if (S.limit[s] < 1 && S.cutAt[s] == now) setLimit(s, S.limit[s] * kCut * kCut, now);
+    cutLimit(s, sent, true, now);
     if (S.out[s] == 0) blockStore(s, now, false);
   } else if (r.ending == Ending::connectFailed || ended) {
     if (!ended && (crowd_ > kCrowded || many())) crowdedAt_ = now;
@@ -548,11 +551,13 @@
   return warmth(s, now) >= 1 || stores_.coldBudget[s] > 0;
 }
 
-// One cut for all that was sent before the last one: they tell of the same jam.
-void Rules::cutLimit(int s, TimePoint sent, TimePoint now) {
+// One cut for all that was sent before the last one: they tell of the same jam. Danger: a light front hears
+// of a full or long queue once in seconds; one step would leave it standing.
+void Rules::cutLimit(int s, TimePoint sent, bool jam, TimePoint now) {
   if (sent < stores_.cutAt[s]) return;
   stores_.cutAt[s] = now;
-  setLimit(s, std::max(1.0 / terms_.fronts, stores_.limit[s] * kCut), now);
+  double part = jam && stores_.limit[s] < 1 ? kCutJam : kCut;
+  setLimit(s, std::max(1.0 / terms_.fronts, stores_.limit[s] * part), now);
 }
 
 // Danger: work sent ahead of a pace that was cut would be owed for minutes after the pace has come back. What
@@ -712,7 +717,7 @@
         // Danger: a store that answers some and leaves others out is neither silent nor full of errors.
         st.executions[k].overdue = true;
         stores_.goodShare[e.store] -= kOverdueHurts * stores_.goodShare[e.store];
-        cutLimit(e.store, e.sent, now);
+        cutLimit(e.store, e.sent, false, now);
       }
       if (terms_.mayCancel && (moved || (overdue && silent && !terms_.secondCopies))) {
         st.executions[k].cancelled = true;
--- a/src/rules.h
+++ b/src/rules.h
@@ -270,7 +270,7 @@
   // in-flight limit and shedding
   bool room(int s, int stmt, TimePoint now) const;
   bool many() const { return firstLimit_ < 1; }  // fronts: each sees and may send little
-  void cutLimit(int s, TimePoint sent, TimePoint now);
+  void cutLimit(int s, TimePoint sent, bool jam, TimePoint now);
   void setLimit(int s, double limit, TimePoint now);
   Span startTime(int w) const;
   void countTenant(Stmt& st, TimePoint now);
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -745,6 +745,72 @@
   }
 }
 
+// Danger: a light front hears of a jam once in seconds. By one small cut each, a hundred of them held a primary's
+// queue at three seconds; its writes were late, and it looked silent.
+void jammedPrimary() {
+  constexpr int kFronts = 100;
+  constexpr double kEach = 1000.0 / 75;  // ms that a write takes; they come at a hundred a second
+  struct Out {
+    Bench* front;
+    int stmt;
+    TimePoint sent, done;
+  };
+  std::vector<std::unique_ptr<Bench>> fronts;
+  std::vector<Out> queue;
+  std::ranlux24_base chance(7);
+  for (int k = 0; k < kFronts; ++k) {
+    Terms t = Bench::terms({kWrite});
+    t.fronts = kFronts, t.seed = static_cast<std::uint64_t>(k);
+    fronts.push_back(std::make_unique<Bench>(t));
+    fronts.back()->quiet = true;
+    fronts.back()->list(1);
+  }
+  std::printf("-- %d fronts, a write a second each; the primary can do 75 a second, one after the other\n", kFronts);
+  TimePoint now = fronts[0]->clock, free = now;
+  int inTime = 0, late = 0;
+  for (int step = 1; step <= 8000; ++step) {
+    now = now + ms(5);
+    std::erase_if(queue, [&](const Out& o) {
+      if (o.done > now) return false;
+      o.front->clock = now;
+      o.front->answer(o.stmt, Ending::ok, Role::primary, 0, -1, (now - o.sent).seconds() * 1000);
+      return ++(now - o.sent <= kWrite.slo ? inTime : late), true;
+    });
+    for (auto& f : fronts) {
+      f->clock = now, f->last = -1;
+      if (chance() % 200 == 0) f->arrive(0, 5000);
+      f->rules.woken(), f->round();
+      if (f->last != 0) continue;
+      free = std::max(free, now) + ms(kEach);
+      queue.push_back({f.get(), f->lastStmt, now, free});
+    }
+    if (step % 2000) continue;
+    std::printf("until %d s: of 1000 about %d in time, %d late, the queue is %d ms long\n", step / 200,
+                (std::exchange(inTime, 0) + 25) / 50 * 50, (std::exchange(late, 0) + 25) / 50 * 50,
+                static_cast<int>(std::max(0.0, (free - now).seconds() * 1000 + 50) / 100) * 100);
+  }
+}
+
+// Danger: writes that look for another primary while theirs is only jammed spend their tries on replicas.
+void searchInVain() {
+  Terms t = Bench::terms({kWrite});
+  t.fronts = 100, t.mayProbe = false;
+  Bench b(t);
+  b.quiet = true;
+  b.list(4);
+  std::vector<int> out;
+  int asked = 0;
+  for (int k = 0; k < 2000; ++k) {
+    b.last = -1;
+    if (k % 60 == 0) b.arrive(0, 5000);
+    b.pass(5);
+    if (b.last > 0) ++asked, b.answer(b.lastStmt, Ending::miss, Role::replica, b.lastExecution, -1, 1);
+    if (b.last == 0) out.push_back(b.lastStmt);
+  }
+  std::printf("-- a primary takes writes and answers none for 10 s; another is looked for\n");
+  std::printf("writes that it got: %d; writes that replicas turned away: %d\n", static_cast<int>(out.size()), asked);
+}
+
 const Case kScenarios[] = {
     {"curve", curve}, {"unmeasured", unmeasured}, {"levels", levels},
     {"checkedReads", checkedReads}, {"window", window}, {"prompt", prompt},
@@ -756,7 +822,7 @@
     {"readAsLook", readAsLook}, {"probesEarned", probesEarned}, {"repeats", repeats},
     {"standing", standing}, {"manyFronts", manyFronts}, {"tenantShares", tenantShares},
     {"paceReturns", paceReturns}, {"coldPrimary", coldPrimary}, {"firstReads", firstReads},
-    {"looks", looks}, {"hostsShared", hostsShared},
+    {"looks", looks}, {"hostsShared", hostsShared}, {"jammedPrimary", jammedPrimary}, {"searchInVain", searchInVain},
     {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"places", places}, {"oneInVain", oneInVain}, {"oneConnection", oneConnection}, {"sendBy", sendBy}, {"cutOff", cutOff},
 };
 
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -103,6 +103,8 @@
   }
 
   void send(int stmt, int store, TimePoint, TimePoint sendBy) override {
+    if (static_cast<int>(times_.size()) <= stmt) times_.resize(static_cast<std::size_t>(stmt) + 1);
+    lastExecution = times_[static_cast<std::size_t>(stmt)]++;
     last = store, lastStmt = stmt;
     if (bySend)
       say("send #%d to %d, by %.0f", stmt, store, (sendBy - TimePoint{1'000'000'000}).seconds() * 1000);
@@ -133,10 +135,11 @@
   TimePoint clock{1'000'000'000};
   Rules rules;
   bool quiet = false, probes = false, bySend = false;
-  int last = -1, lastStmt = -1, probed = -1;
+  int last = -1, lastStmt = -1, lastExecution = 0, probed = -1;
 
  private:
   int next_ = 0;
+  std::vector<int> times_;  // that a statement was sent
 };
 
 }  // namespace reedchute::test
