--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -462,6 +462,8 @@
   if (!ok) stores_.probeDue[s] = now + smallestBound_ * (vain ? kSlowestPace : kFirstPace);
   if (!ok && stores_.down[s]) stores_.dead[s] |= vain, blockStore(s, now, true);
   if (!ok) return;
+  // Danger: where one that runs has no room for connections, most of a squeezed fleet's stores have none.
+  if (stores_.down[s] && !stores_.dead[s] && many()) crowdedAt_ = now;
   // Danger: a store that was only cut off is not cold. A dead primary of several would have lost its role.
   bool kept = report.position && report.primary.value_or(false) && *report.position > stores_.blockedAt[s];
   if (kept && groups_[stores_.group[s]].members.size() > 1) stores_.dead[s] = 0;
@@ -523,7 +525,7 @@
     cutLimit(s, sent, true, now);
     if (S.out[s] == 0) blockStore(s, now, false);
   } else if (r.ending == Ending::connectFailed || ended) {
-    if (!ended && (crowd_ > kCrowded || many())) crowdedAt_ = now;
+    if (!ended && (crowd_ > kCrowded || many())) (many() ? S.crowdedAt[s] : crowdedAt_) = now;
     S.dead[s] |= ended;
     // What was sent before the block tells nothing new, nor one connection of a store that answers on others.
     bool first = std::exchange(S.refusedAt[s], now) <= S.heard[s] && now - S.heard[s] < smallestSlo_;
@@ -747,7 +749,7 @@
 void Rules::begins(int s, TimePoint at, TimePoint now) {
   if (at <= stores_.started[s]) return;
   stores_.started[s] = at, stores_.goodShare[s] = 1, stores_.coldFilled[s] = now;
-  stores_.coldBudget[s] = -unit(chance_);
+  stores_.coldBudget[s] = -unit(chance_), stores_.crowdedAt[s] = kNever;  // its table is empty again
 }
 
 // What is left by now of a rate as it stood after the last arrival.
@@ -869,9 +871,11 @@
       setLimit(static_cast<int>(s), stores_.limit[s] + fade * (back - stores_.limit[s]), now);
     stores_.faded[s] = now;
   }
-  // Danger: idle connections of hundreds of fronts fill the tables of stores that accept few.
+  // Danger: idle connections of hundreds of fronts fill the tables of stores that accept few. Given back at
+  // all stores for one that refused, they would be made anew for each statement while a zone is away.
   for (int s : used_)
-    if (stores_.out[s] == 0 && now - crowdedAt_ < terms_.coldRamp) out.release(s);
+    if (stores_.out[s] == 0 && now - std::max(crowdedAt_, stores_.crowdedAt[s]) < terms_.coldRamp)
+      out.release(s);
   used_.clear();
   watchExecutions(now, out);
   probeRound(now, out);  // before reads are placed: they may await the answer
--- a/src/rules.h
+++ b/src/rules.h
@@ -164,7 +164,7 @@
   std::vector<TimePoint> heard, faded, blockedUntil, blockedAt;
   std::vector<Span> block;
   std::vector<char> down, dead;  // refused a connection; and probes found it away
-  std::vector<TimePoint> refusedAt;
+  std::vector<TimePoint> refusedAt, crowdedAt;  // a connection; and last seen that it has no room for more
   std::vector<int> missed;  // probes in vain, one after the other
   // load
   std::vector<int> out;
@@ -183,7 +183,8 @@
       array[s] = std::move(value);
     };
     for (auto* never : {&started, &position, &primaryAt, &replicaAt, &reported, &probedAt, &renewal,
-                        &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt, &refusedAt})
+                        &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt, &refusedAt,
+                        &crowdedAt})
       put(*never, kNever);
     for (auto* flag : {&inList, &probing, &down, &dead}) put(*flag, char{0});
     put(group, -1), put(zone, -1), put(listed, Listed::up), put(weight, 1.0);
@@ -309,7 +310,7 @@
   Span smallestBound_, smallestSlo_;
   Span memory_;  // how far back rates look
   double crowd_ = 0;  // the share of late executions that got no connection
-  TimePoint crowdedAt_ = kNever;  // last seen that a store has no room for connections
+  TimePoint crowdedAt_ = kNever;  // last seen that a store which runs has no room for connections
   std::vector<int> used_;         // stores that answered in this round
   TimePoint askAt_ = kNever;
   Span askBackoff_;
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -538,6 +538,32 @@
   b.round();
 }
 
+// Danger: hundreds of fronts that met a dead store each gave back all connections after every use, for a warm-up's time.
+void othersKeep() {
+  Terms t = Bench::terms({kWrite, kAny});
+  t.fronts = 100;
+  Bench b(t);
+  b.list(2);
+  b.note("many fronts: one store refuses a connection and its probe; those to the other are kept");
+  b.answer((b.arrive(1), b.pass(300), b.lastStmt), Ending::connectFailed);
+  b.rules.probed(1, false, {}, b.clock);
+  b.answer((b.arrive(0), b.pass(300), b.lastStmt), Ending::ok, Role::primary);
+  b.pass(20);
+  b.note("it starts anew, with an empty table: its own are kept as well");
+  b.listOne(1, false, Listed::up, b.clock);
+  for (int k = 0; k < 10 && (b.last = -1, b.arrive(1), b.pass(300), b.last != 1); ++k) {
+  }
+  b.answer(b.lastStmt, Ending::ok, Role::replica);
+  b.pass(20);
+  Bench c(t);
+  c.list(2);
+  c.note("one refuses a connection, yet its probe answers: tables are full, all idle ones go after use");
+  c.answer((c.arrive(1), c.pass(300), c.lastStmt), Ending::connectFailed);
+  c.report(1, 10);
+  c.answer((c.arrive(0), c.pass(300), c.lastStmt), Ending::ok, Role::primary);
+  c.pass(20);
+}
+
 // Danger: where answers take a hundredth of the SLO time, one connection that fell silent, or that never came up,
 // would block a store that answers on all its others.
 void oneConnection() {
@@ -823,6 +849,7 @@
     {"standing", standing}, {"manyFronts", manyFronts}, {"tenantShares", tenantShares},
     {"paceReturns", paceReturns}, {"coldPrimary", coldPrimary}, {"firstReads", firstReads},
     {"looks", looks}, {"hostsShared", hostsShared}, {"jammedPrimary", jammedPrimary}, {"searchInVain", searchInVain},
+    {"othersKeep", othersKeep},
     {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"places", places}, {"oneInVain", oneInVain}, {"oneConnection", oneConnection}, {"sendBy", sendBy}, {"cutOff", cutOff},
 };
 
