Tally counts final answers, executions, probes and connections, and is told at the end

Change: relay, send and stores count; the tally line has completed, rejected, aborted, executions, probes, connects, every five seconds and once more at the end. Test tallied compares the line with what clients heard and what the toy's stores saw.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -143,6 +143,7 @@
   }
   enter(Phase::serving);
   scheduler_.run([this] { route_.round(); });
+  tellTally();
   enter(Phase::ended);
   log::flushCounts();
 }
@@ -206,12 +207,21 @@
   }
 }
 
+void Front::tellTally() {
+  auto count = [](std::uint64_t n) { return static_cast<unsigned long long>(n); };
+  const stages::Relay::Endings& ends = relay_.endings();
+  log::line("tally",
+            "taken=%llu open=%zu sessions=%zu store_connections=%zu stores=%zu gone=%zu completed=%llu rejected=%llu "
+            "aborted=%llu executions=%llu probes=%llu connects=%llu",
+            count(taken_), book_.openCount(), sessions(), stores_.connections(), storeIds_.size(), gone_.size(),
+            count(ends.completed), count(ends.rejected), count(ends.aborted), count(send_.executions()),
+            count(send_.probes()), count(stores_.opened()));
+}
+
 sched::Task<> Front::tally() {
   for (;;) {
     co_await sched::sleepUntil(scheduler_, scheduler_.now() + kTallyEvery);
-    log::line("tally", "taken=%llu open=%zu sessions=%zu store_connections=%zu stores=%zu gone=%zu",
-              static_cast<unsigned long long>(taken_), book_.openCount(), sessions(),
-              stores_.connections(), storeIds_.size(), gone_.size());
+    tellTally();
     if (ledger_) tellLedger();
     log::flushCounts();
   }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -55,6 +55,7 @@
   void reload();
   sched::Task<> leave();
   sched::Task<> tally();
+  void tellTally();
   void tellLedger();
   sched::Task<> watchLedger();
   sched::Task<> sweep();
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -132,7 +132,7 @@
     log::line("stores_crowded", "connections=%zu", connections_.size());
   auto c = voices_[static_cast<std::size_t>(speech)]->carrier(*this, store, speech, fd);
   connections_.push_back(c.get());
-  ++pool.coming;
+  ++pool.coming, ++opened_;
   scheduler_.spawn(run(std::move(c)));
 }
 
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -83,6 +83,7 @@
   // Closes the idle connections of one store.
   void release(int store);
   std::size_t connections() const { return connections_.size(); }
+  std::uint64_t opened() const { return opened_; }  // connections begun since the start
   // Is there neither a connection nor a job to it?
   bool unused(int store) const;
   // Nothing is kept of a store that is unused.
@@ -128,6 +129,7 @@
   std::vector<exchange::Voice*> voices_;
   std::vector<std::vector<Pool>> pools_;  // by store and speech
   std::vector<Carrier*> connections_;
+  std::uint64_t opened_ = 0;
   std::vector<std::unique_ptr<Job>> jobs_;
 };
 
--- a/src/stages/relay.cpp
+++ b/src/stages/relay.cpp
@@ -6,6 +6,7 @@
 
 // Danger: an answer that goes out before it is counted is never billed where the process ends in between.
 void Relay::count(const Statement& st, bool completed, bool rejected, std::size_t bytesOut) {
+  ++(completed ? endings_.completed : rejected ? endings_.rejected : endings_.aborted);
   if (!meter_) return;
   exchange::Metered m;
   m.tenant = st.tenant, m.workload = st.workload, m.group = groups_.id(st.group), m.mark = st.mark;
--- a/src/stages/send.cpp
+++ b/src/stages/send.cpp
@@ -19,7 +19,7 @@
   job->speech = st.speech;
   job->request = st.request.get();
   job->leftMs = std::max<std::int64_t>(0, (stopAt - now).us / 1000);
-  ++st.out;
+  ++st.out, ++executions_;
   st.stores.push_back(store);
   st.jobs.push_back(nullptr);
   st.jobs.back() = stores_.give(std::move(job));
@@ -37,6 +37,7 @@
   job->begun = scheduler_.now();
   job->until = job->begun + probeTimeout_;
   job->speech = probes_;
+  ++looks_;
   stores_.give(std::move(job));
 }
 
--- a/src/stages/send.h
+++ b/src/stages/send.h
@@ -15,6 +15,9 @@
   void execution(int stmt, int store, TimePoint stopAt, TimePoint sendBy);
   void cancel(int stmt, int execution);
   void probe(int store);
+  // Since the start, also those that never left.
+  std::uint64_t executions() const { return executions_; }
+  std::uint64_t probes() const { return looks_; }
 
  private:
   sched::Scheduler& scheduler_;
@@ -22,6 +25,7 @@
   peers::Stores& stores_;
   Span probeTimeout_;
   exchange::Speech probes_;
+  std::uint64_t executions_ = 0, looks_ = 0;
 };
 
 }  // namespace reedchute::stages
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -347,6 +347,32 @@
   d.exits();
 }
 
+// What the last tally says, against what clients heard and stores saw.
+void tallied() {
+  Drive d(2);
+  {
+    Client c(d);
+    for (int k = 0; k < 12; ++k) c.ask(Client::read("ok"));
+    c.ask(Client::write("error-ok", 3000, "once"));
+    c.ask(Client::write("full", 400, "once"));
+    c.ask(Client::read("full-ok"));
+  }
+  d.signal(SIGTERM);
+  d.exits();
+  d.logged("tally");
+  std::size_t at = d.log.rfind(" tally ");
+  std::string line = at == std::string::npos ? "none" : d.log.substr(at, d.log.find('\n', at) - at);
+  auto value = [&](const char* name) {
+    std::size_t from = line.find(std::string(" ") + name + "=");
+    return from == std::string::npos ? -1 : std::atoi(line.c_str() + from + std::strlen(name) + 2);
+  };
+  for (const char* name : {"taken", "open", "completed", "rejected", "aborted"})
+    std::printf("%s %d\n", name, value(name));
+  std::printf("executions: %s\n", value("executions") == d.sent ? "as stores saw" : line.c_str());
+  std::printf("probes: %s\n", value("probes") > 0 ? "some" : "none");
+  std::printf("connects: %s\n", value("connects") >= 2 && value("connects") < value("executions") ? "kept ones serve many" : line.c_str());
+}
+
 // Each on a front of its own: what a spoilt answer says is not believed, the execution may have run.
 void spoilt() {
   for (const char* key : {"noise", "longer", "liar", "garbage", "long", "twice"}) {
@@ -501,7 +527,7 @@
 const Case kCases[] = {
     {"completed", completed}, {"outcomes", outcomes}, {"writes", writes},       {"connections", connections},
     {"drains", drains},       {"asked", asked},       {"logStands", logStands}, {"badInput", badInput},
-    {"crowd", crowd},         {"leaves", leaves},
+    {"crowd", crowd},         {"leaves", leaves}, {"tallied", tallied},
     {"spoilt", spoilt},       {"reload", reload},     {"silence", silence},
     {"passing", passing},     {"memory", memory}};
 
