A watch that falls silent is broken after 4 s, not 15: drains were told and not heard

Lines at fault: list.cpp, 'limit = whole ? wait : wait * 1.5', and front.cpp, which took ask_every for the wait. Change: a watch waits half of the 6 s after which silence counts as told and is broken a sixth later; the whole list, where it is pushed, is owed within that sixth. And since what the agent has counts from a process's first moment, clients wait in the kernel for the first list, two connect time-outs at the most. The JSON reader took indented lists before; now a test says so. Test: toldAnyway (silent watch, the one after it, a new process whose known list is old); against the program as it was: 'told too late' twice, and the draining store got the statement.

--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -33,6 +33,18 @@
   }
 }
 
+// JSON with a line for each of its parts.
+std::string spread(const std::string& json) {
+  std::string out;
+  bool text = false;
+  for (char c : json) {
+    text ^= c == '"';
+    bool joint = !text && std::string_view("{}[],:").find(c) != std::string_view::npos;
+    out += joint ? std::string("\n\t  ") + c + " \r\n" : std::string(1, c);
+  }
+  return out;
+}
+
 }  // namespace
 
 Toy::~Toy() = default;
@@ -317,6 +329,7 @@
     };
     std::int64_t index = figure("index="), wait = figure("&wait=");
     std::string body;
+    bool never = listSilent_;
     if (index < 0) {
       body = roster();
     } else {
@@ -330,9 +343,15 @@
         if (version > index) entries += (entries.empty() ? "" : ",") + member(store);
       body = listing(false, entries);
     }
+    if (listDelay_ > Span{}) co_await sched::sleepUntil(scheduler_, scheduler_.now() + listDelay_);
+    if (indented_) body = spread(body);
     std::string out = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
                       std::to_string(body.size()) + "\r\n\r\n" + body;
     if (!spoiled_.empty()) out = std::exchange(spoiled_, {});
+    if (never || listSilent_) {
+      while (s.read(in, kMost) != sched::Socket::Got::ended) co_await s.in.wait();
+      co_return;
+    }
     bool sent = co_await sched::writeAll(s, out, kForever);
     if (!sent) co_return;
   }
--- a/example/toy.h
+++ b/example/toy.h
@@ -45,6 +45,13 @@
   // What every answer of the list service becomes, once; empty: a proper one.
   void spoilList(std::string raw) { spoiled_ = std::move(raw); }
 
+  // Calls of the list that are open, and those that come while it is so, get no answer ever.
+  void silenceList(bool silent) { listSilent_ = silent; }
+  // So long a call of the list waits for its answer, where that has one at once.
+  void delayList(Span by) { listDelay_ = by; }
+  // Lists are written over many lines, with blanks between all parts.
+  void indentList(bool so) { indented_ = so; }
+
   std::string roster() const;  // the whole list
   std::string idOf(int store) const { return "toy-" + std::to_string(store); }
   int executions(int store) const;
@@ -112,6 +119,8 @@
   std::map<std::string, int> effects_;
   std::map<std::string, TimePoint> marks_;  // when a mark's write took effect
   std::string spoiled_;
+  bool listSilent_ = false, indented_ = false;
+  Span listDelay_;
 };
 
 }  // namespace reedchute::toy
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -24,6 +24,11 @@
 constexpr Span kStillComing{550'000};
 // In connect time-outs: whoever has come is left alone for so long; owes a whole message; may be closed when idle.
 constexpr double kGrace = 0.1, kSilence = 6, kIdle = 8;
+// PROTOCOL: what a silent watch misses counts as told so long after it fell silent, and for a call that may wait, a
+// third of that after its wait. A watch waits half of it, and is broken a sixth later.
+constexpr Span kToldAnyway{6'000'000};
+constexpr double kWatchPart = 1.0 / 2, kSilentPart = 1.0 / 6;
+constexpr double kFirstList = 2;   // connect time-outs that clients are kept waiting for the first list
 constexpr double kRemembered = 2;  // keepalives that a store which is gone is remembered for
 constexpr Span kTallyEvery{5'000'000};
 
@@ -87,9 +92,11 @@
       route_(scheduler_, rules_, book_, send_, relay_, stores_),
       admit_(rules_, book_),
       list_(scheduler_, *this, given_.discovery, given_.discoveryHost,
-            {given_.terms.askEvery, given_.terms.connectTimeout, given_.terms.mustAsk},
+            {std::min(given_.terms.askEvery, kToldAnyway * kWatchPart), kToldAnyway * kSilentPart,
+             given_.terms.connectTimeout, given_.terms.mustAsk},
             given_.memory / kListPart),
-      told_(scheduler_) {
+      told_(scheduler_),
+      listed_(scheduler_) {
   route_.list(&list_);
   if (given_.ledger) {
     ledger_ = std::make_unique<ledger::Feed>(*given_.ledger, given_.names, given_.terms);
@@ -141,13 +148,22 @@
     else
       log::line("listening_too", "protocol=%s port=%d", protocols_[k]->name(), port);
   }
-  enter(Phase::serving);
+  scheduler_.spawn(open());
   scheduler_.run([this] { route_.round(); });
   tellTally();
   enter(Phase::ended);
   log::flushCounts();
 }
 
+// Danger: what the list's agent has counts as told from the first moment, and the list known from before may be old:
+// a statement taken before the agent was heard could go to a store that has drained since. It may be away, though.
+sched::Task<> Front::open() {
+  co_await listed_.wait(scheduler_.now() + given_.terms.connectTimeout * kFirstList);
+  if (phase_ == Phase::closing) co_return;
+  for (const auto& c : clients_) c->open();
+  if (phase_ == Phase::starting) enter(Phase::serving);
+}
+
 sched::Task<> Front::watchSignals(int fd) {
   sched::Descriptor signals(scheduler_, fd);
   for (;;) {
@@ -267,6 +283,7 @@
   log::line("list", "version=%lld full=%d entries=%zu", static_cast<long long>(roster.version), roster.full,
             roster.members.size());
   tellList(roster, true);
+  listed_.set();
 }
 
 void Front::listFailed() {
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -52,6 +52,7 @@
   void tellList(const peers::Roster& roster, bool asked);
   void forgetGone();
   sched::Task<> watchSignals(int fd);
+  sched::Task<> open();
   void reload();
   sched::Task<> leave();
   sched::Task<> tally();
@@ -77,7 +78,8 @@
   stages::Admit admit_;
   std::vector<std::unique_ptr<peers::Clients>> clients_;  // by protocol
   peers::List list_;
-  sched::Event told_;  // a signal to end has come
+  sched::Event told_;    // a signal to end has come
+  sched::Event listed_;  // the list has come
   std::uint64_t taken_ = 0;
   ledger::FeedState ledgerWas_;
 };
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -83,10 +83,11 @@
 
 int Clients::listen(const sockaddr_in& address) {
   listener_ = std::make_unique<sched::Descriptor>(scheduler_, sched::listenOn(address));
-  scheduler_.spawn(accept());
   return sched::portOf(listener_->fd());
 }
 
+void Clients::open() { scheduler_.spawn(accept()); }
+
 void Clients::stopListening() {
   if (listener_) listener_->close();
 }
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -67,8 +67,10 @@
   Clients(sched::Scheduler& s, Door& door, Limits limits);
   ~Clients();
 
-  // Accepts until stopListening() and returns the port; throws where the address can't be had.
+  // Returns the port; throws where the address can't be had. Whoever comes waits in the kernel until open(); from
+  // then on they are accepted until stopListening().
   int listen(const sockaddr_in& address);
+  void open();
   void stopListening();
   // From now on sessions end when they are idle, at once or after their answer.
   void sendAway();
--- a/src/peers/list.cpp
+++ b/src/peers/list.cpp
@@ -121,7 +121,9 @@
   std::int64_t waitMs = std::min(kMostWaitMs, pace_.wait.us / 1000);
   std::string path = "/catalog/members";
   if (!whole) path += "?index=" + std::to_string(version_) + "&wait=" + std::to_string(waitMs);
-  Span limit = whole ? pace_.wait : pace_.wait * 1.5;
+  // Danger: a watch that has fallen silent looks like one with nothing to tell. Where the list is pushed the whole of
+  // it comes from this machine at once; a service that many ask may take its time.
+  Span limit = whole && !pace_.onDemand ? pace_.silence : pace_.wait + pace_.silence;
   std::string body;
   bool got = co_await exchange(path, scheduler_.now() + limit, body);
   // Danger: the last word of the old service, taken for the new one's, would hide what the new one has to tell.
--- a/src/peers/list.h
+++ b/src/peers/list.h
@@ -46,6 +46,7 @@
  public:
   struct Pace {
     Span wait;      // that a watch may be held
+    Span silence;   // beyond that: a call without an answer by then is broken and made anew
     Span pause;     // before a call that failed is made again
     bool onDemand;  // called only when the module asks
   };
--- a/tests/drive.h
+++ b/tests/drive.h
@@ -100,13 +100,13 @@
       until("the other door listens", [&] { return logged("protocol=cassandra port="); });
       cqlPort = static_cast<std::uint16_t>(std::atoi(log.c_str() + log.find("protocol=cassandra port=") + 24));
     }
-    until("the list is read", [&] { return logged(" list version="); });
+    if (awaitsList) until("the list is read", [&] { return logged(" list version="); });
   }
   void configure(int listPort, const char* name = "t", std::size_t cutAt = std::string::npos) {
     std::string text = "{\"name\":\"" + std::string(name) + "\",\"listen\":\"127.0.0.1:" +
                        std::to_string(logStands_ ? port : 0) + "\",\"discovery\":\"127.0.0.1:" +
                        std::to_string(listPort) + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" +
-                       std::to_string(sockets_) + ",\"memory_mb\":" + std::to_string(memoryMb_) + "},\"known\":" + toy.roster() + ",\"settings\":" + settings_ +
+                       std::to_string(sockets_) + ",\"memory_mb\":" + std::to_string(memoryMb_) + "},\"known\":" + (known.empty() ? toy.roster() : known) + ",\"settings\":" + settings_ +
                        "}";
     std::ofstream(path_) << text.substr(0, cutAt);
   }
@@ -160,6 +160,8 @@
   std::uint16_t port = 0, cqlPort = 0;
   std::string log;
   bool show = false;
+  std::string known;        // the list that the front is started with, where it isn't the list as it stands
+  bool awaitsList = true;  // the front counts as started once it has the list
   int sent = 0;
 
  private:
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -20,6 +20,7 @@
 using namespace reedchute;
 using test::Drive;
 using test::kPatience;
+using test::ms;
 using test::program;
 using sched::Socket;
 using test::Case;
@@ -251,6 +252,36 @@
   Client(d).asks("and a read", Client::read("a"));
 }
 
+// What the list's agent has counts as told, whatever becomes of the call that would bring it.
+void toldAnyway() {
+  Drive d(2);
+  d.toy.indentList(true);
+  d.toy.setState(1, "draining");
+  std::printf("a list with a line for each part: %s\n", d.until("told", [&] { return d.logged("version=2"); }) ? "read" : "?");
+  d.toy.indentList(false);
+  auto silenced = [&](const char* state, const char* line) {
+    d.pass(50);
+    d.toy.silenceList(true);
+    d.toy.setState(1, state);
+    TimePoint since = d.s.now();
+    d.pass(200);
+    d.toy.silenceList(false);
+    d.until("told", [&] { return d.logged(line); });
+    return d.s.now() - since < ms(6000) ? "told before that counts" : "told too late";
+  };
+  std::printf("a watch that falls silent: %s\n", silenced("up", "version=3"));
+  std::printf("and the one after it: %s\n", silenced("draining", "version=4"));
+  d.toy.setState(1, "up");
+  d.until("told", [&] { return d.logged("version=5"); });
+  d.known = d.toy.roster(), d.awaitsList = false;
+  d.toy.setState(1, "draining");
+  d.toy.delayList(ms(150));
+  d.killAndStart();
+  int had = d.toy.executions(1);
+  Client(d).asks("a new process, the list known from before out of date", Client::read("a"));
+  std::printf("the store that drains got %d of it\n", d.toy.executions(1) - had);
+}
+
 void logStands() {
   Drive d(2, 256, "automatic", "", true);
   Client c(d);
@@ -531,7 +562,7 @@
     {"drains", drains},       {"asked", asked},       {"logStands", logStands}, {"badInput", badInput},
     {"crowd", crowd},         {"leaves", leaves}, {"tallied", tallied},
     {"spoilt", spoilt},       {"reload", reload},     {"silence", silence},
-    {"passing", passing},     {"memory", memory}};
+    {"passing", passing},     {"memory", memory},     {"toldAnyway", toldAnyway}};
 
 }  // namespace
 
--- a/tests/parsers.cpp
+++ b/tests/parsers.cpp
@@ -261,7 +261,7 @@
     return list(s.replace(s.find(from), std::strlen(from), to));
   };
   for (const std::string& text :
-       {list(good), list(""), list(good + "," + good), with("\"up\"", "\"asleep\""),
+       {list(good), list(" \n\t" + good + "\r\n  "), list(""), list(good + "," + good), with("\"up\"", "\"asleep\""),
         with("10.1.0.1:1", "10.1.0.1"), with("10.1.0.1:1", "10.1.0.1:0"), with("10.1.0.1:1", "host:1"),
         with("\"id\":\"a\",", ""), with("\"cell\":3,", ""), with("\"cell\":3", "\"cell\":\"3\""),
         std::string("[]"), std::string("{\"version\":1,\"full\":true}"),
