Bounded reads go to a primary with room before any look, at many fronts

Meanwhile the primary, where the design sends a bounded read that is not placed, had room: route() came to it only when no look was under way. Change: at many fronts a bounded read without a known fresh replica goes to the primary at once where its pace has a place for a read, and then calls for no look; not where the primary is cold, its limit was cut, or only a report names it.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -287,6 +287,9 @@
   // Danger: a light front hears too late that short reads fill a host; there they take hosts like any other.
   if (many()) fit.insert(fit.end(), hosting.begin(), hosting.end()), hosting.clear();
   if (!hosting.empty() || !fit.empty()) return fewest(hosting.empty() ? fit : hosting, stmt, now);
+  // Danger: at many fronts a look is needed for nearly every bounded read and finds its replica too old half of the
+  // time; where the primary has room for it, it goes there, as the design has it of any that is not placed.
+  if (many() && bounded && primaryRoom(g, stmt, now)) return g.primary;
   // Reads await a probe answer that is under way, but not for long.
   if (!known && awaited && now - st.arrived < w.slo * kSearchGap) return -1;
   if (packed && rank > 0) return -1;
@@ -324,6 +327,13 @@
   return g.primary >= 0 && usable(g.primary, now);
 }
 
+// Has it room for a bounded read that needs no look? Not while cold or after a cut: writes come first there. A
+// report alone is no proof of the role, and stores that check need none.
+bool Rules::primaryRoom(const GroupState& g, int stmt, TimePoint now) const {
+  if (!primaryUsable(g, now) || g.named == Named::byReport || terms_.storesCheck) return false;
+  return stores_.limit[g.primary] >= firstLimit_ && warmth(g.primary, now) >= 1 && room(g.primary, stmt, now);
+}
+
 void Rules::namePrimary(int g, int s, Named named, TimePoint now) {
   groups_[g].primary = s, groups_[g].named = named, groups_[g].primarySince = now;
 }
@@ -442,7 +452,7 @@
       return std::pair(a.first, stores_.probeDue[a.second]) < std::pair(b.first, stores_.probeDue[b.second]);
     });
     double flow = g.boundedRate * smallestBound_.seconds();
-    bool wanted = !terms_.storesCheck && unplaced > 0;
+    bool wanted = !terms_.storesCheck && unplaced > 0 && !(many() && primaryRoom(g, first, now));
     double want = wanted ? 1 + kLead * (flow + unplaced * kSoft) : 0;
     if (many()) want = std::floor(want);
     for (auto [lag, s] : due) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -254,6 +254,7 @@
   // primary search
   void learnRole(int s, Role role, TimePoint at, bool byReport);
   bool primaryUsable(const GroupState& g, TimePoint now) const;
+  bool primaryRoom(const GroupState& g, int stmt, TimePoint now) const;
   void namePrimary(int g, int s, Named named, TimePoint now);
   int searchTurn(int stmt, TimePoint now);
   // probe timing
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -468,6 +468,32 @@
   std::printf("at once: %d at the primary; after 0.5 s: %d; after 15 s: %d\n", sent[0], sent[1], sent[2]);
 }
 
+// Danger: a look for nearly every bounded read, half of them in vain, while primaries have room. Where its pace has a
+// place the primary takes it at once; where it was cut, is cold, or is named by a report alone, a look comes first.
+void primaryFirst() {
+  for (const char* what : {"a primary with room", "cut by a slow answer", "cold", "named by a report alone", "taken a moment ago"}) {
+    Terms t = Bench::terms({kBounded});
+    t.fronts = 100, t.probePrice = 0.01;
+    Bench b(t);
+    b.quiet = true;
+    b.list(3, std::strncmp(what, "named", 5) ? 0 : -1);
+    b.pass(12'000);
+    if (!std::strncmp(what, "named", 5)) b.report(0, 5, true);
+    if (!std::strcmp(what, "cold")) b.listOne(0, true, Listed::up, b.clock);
+    if (!std::strncmp(what, "cut", 3) || !std::strncmp(what, "taken", 5)) {
+      int stmt = b.arrive(0);
+      b.round();
+      b.clock = b.clock + ms(300);
+      b.answer(stmt, Ending::ok, Role::primary, 0, -1, std::strncmp(what, "cut", 3) ? 20 : 300);
+      if (!std::strncmp(what, "cut", 3)) b.pass(1000);
+    }
+    b.last = b.probed = -1;
+    b.arrive(0), b.round();
+    std::printf("%s: %s, %s\n", what, b.last == 0 ? "it goes there" : b.last > 0 ? "it goes to a replica" : "it waits",
+                b.probed >= 0 ? "a look is made" : "no look");
+  }
+}
+
 // Danger: at many fronts most replicas have no room for one more read from here. Fresh ones among them stood for
 // replicas at hand, so that none was looked for; and looks began with the hosts of long reads, which always lag.
 void looks() {
@@ -848,7 +874,7 @@
     {"readAsLook", readAsLook}, {"probesEarned", probesEarned}, {"repeats", repeats},
     {"standing", standing}, {"manyFronts", manyFronts}, {"tenantShares", tenantShares},
     {"paceReturns", paceReturns}, {"coldPrimary", coldPrimary}, {"firstReads", firstReads},
-    {"looks", looks}, {"hostsShared", hostsShared}, {"jammedPrimary", jammedPrimary}, {"searchInVain", searchInVain},
+    {"looks", looks}, {"primaryFirst", primaryFirst}, {"hostsShared", hostsShared}, {"jammedPrimary", jammedPrimary}, {"searchInVain", searchInVain},
     {"othersKeep", othersKeep},
     {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"places", places}, {"oneInVain", oneInVain}, {"oneConnection", oneConnection}, {"sendBy", sendBy}, {"cutOff", cutOff},
 };
