A zone with three tries in vain and no word between them is doubted as a whole

Nothing that a front learned of one store told it of the next in the same zone. Ruled out: second copies alone (they start at half the SLO time, too late for a third attempt). Change, within the health mechanism: connections in vain, broken ones and overdue executions at stores not heard since count by zone; any word from the zone, an answer or a probe, ends the count. From three on the zone's replicas keep a fiftieth of their weight, get no looks, and its primaries no bounded reads without a look, for eight connect time-outs after the last try in vain.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -50,6 +50,8 @@
 constexpr double kWell = 0.5;         // good share from which a store takes its turn as host of long reads
 constexpr double kCrowded = 0.06;  // share of refused connections from which stores have no room for them
 constexpr double kForget = 8;         // SLO times after which a bad share is mostly forgotten
+constexpr int kZoneMisses = 3;         // tries in vain in a zone with no word from it between: it is doubted
+constexpr double kZoneDoubt = 0.02;    // of its replicas' weight that is left then
 constexpr double kBlockCap = 8;       // connect time-outs: the longest block
 // In-flight limit.
 constexpr double kFirstLimit = 4;
@@ -135,6 +137,7 @@
     if (static_cast<int>(groups_.size()) <= e.group) groups_.resize(e.group + 1);
     groups_[e.group].members.push_back(s), S.group[s] = e.group;
   }
+  if (static_cast<int>(zones_.size()) <= e.zone) zones_.resize(e.zone + 1);
   S.zone[s] = e.zone, S.weight[s] = e.weight > 0 ? e.weight : 1, S.inList[s] = 1;
   // Where a vanished store is not bound by the drain rule the list does not prove what is up: health decides.
   if (e.listed != Listed::gone || terms_.goneBinds) S.listed[s] = e.listed;
@@ -232,6 +235,7 @@
   double weight = stores_.weight[s] * curve(s, w, now) * warmth(s, now);
   double ramp = (now - stores_.returned[s][st.workload]) / (smallestSlo_ * kSlowStart);
   if (w.level == Level::bounded) weight *= std::clamp(ramp, kFloor, 1.0);
+  if (doubted(s, now)) weight *= kZoneDoubt;
   // Danger: quick errors free slots fast and draw more reads; a slow store answers right but late.
   weight *= stores_.goodShare[s] * stores_.goodShare[s] / std::clamp(stores_.speed[s], 0.5, 10.0);
   for (const Execution& e : st.executions)
@@ -331,7 +335,7 @@
 // report alone is no proof of the role, and stores that check need none.
 bool Rules::primaryRoom(const GroupState& g, int stmt, TimePoint now) const {
   if (!primaryUsable(g, now) || g.named == Named::byReport || terms_.storesCheck) return false;
-  return stores_.limit[g.primary] >= firstLimit_ && warmth(g.primary, now) >= 1 && room(g.primary, stmt, now);
+  return stores_.limit[g.primary] >= firstLimit_ && !doubted(g.primary, now) && warmth(g.primary, now) >= 1 && room(g.primary, stmt, now);
 }
 
 void Rules::namePrimary(int g, int s, Named named, TimePoint now) {
@@ -440,7 +444,7 @@
       rank += mayHost(s);
       if (stores_.probing[s] || stores_.listed[s] != Listed::up) continue;
       if (stores_.down[s] && stores_.blockedUntil[s] <= now) stores_.probing[s] = 1, out.probe(s);
-      if (stores_.down[s] || now < stores_.probeDue[s]) continue;
+      if (stores_.down[s] || now < stores_.probeDue[s] || doubted(s, now)) continue;
       if (!helps && !(lost && writes)) continue;
       if (stores_.position[s] == kNever || (!young && s != g.primary && usable(s, now)) || (lost && writes))
         due.emplace_back(supposedLag(s, rank <= hosts), s);
@@ -472,6 +476,7 @@
   if (!ok) stores_.probeDue[s] = now + smallestBound_ * (vain ? kSlowestPace : kFirstPace);
   if (!ok && stores_.down[s]) stores_.dead[s] |= vain, blockStore(s, now, true);
   if (!ok) return;
+  tellZone(s, true, now);
   // Danger: where one that runs has no room for connections, most of a squeezed fleet's stores have none.
   if (stores_.down[s] && !stores_.dead[s] && many()) crowdedAt_ = now;
   // Danger: a store that was only cut off is not cold. A dead primary of several would have lost its role.
@@ -494,6 +499,19 @@
          !(stores_.down[s] && terms_.mayProbe);
 }
 
+// Danger: when a zone is lost, each front would find out store by store, at the cost of a statement each.
+bool Rules::doubted(int s, TimePoint now) const {
+  int z = stores_.zone[s];
+  return z >= 0 && zones_[z].missed >= kZoneMisses && now - zones_[z].missedAt < terms_.connectTimeout * kBlockCap;
+}
+
+void Rules::tellZone(int s, bool heard, TimePoint now) {
+  if (stores_.zone[s] < 0) return;
+  ZoneDoubt& z = zones_[stores_.zone[s]];
+  z.missed = heard ? 0 : z.missed + 1;
+  if (!heard) z.missedAt = now;
+}
+
 void Rules::blockStore(int s, TimePoint now, bool down) {
   Span first = terms_.connectTimeout;
   stores_.block[s] = stores_.block[s] > Span{} ? std::min(stores_.block[s] * 2, first * kBlockCap) : first;
@@ -518,7 +536,8 @@
   // Danger: one answer spoilt or cut off is no death; but of many fronts each sees no more of one than that.
   bool ended = r.ending == Ending::reset;
   bool wrong = r.ending == Ending::error || r.ending == Ending::spoilt || (ended && !many());
-  if (well || wrong || r.ending == Ending::full) S.heard[s] = now;
+  if (well || wrong || r.ending == Ending::full) S.heard[s] = now, tellZone(s, true, now);
+  if (r.ending == Ending::connectFailed || ended) tellZone(s, false, now);
   if (well) healed(s, now);
   crowd_ += kLearn * 0.5 * ((r.ending == Ending::connectFailed) - crowd_);
   if (r.ending == Ending::ok) {
@@ -729,6 +748,7 @@
       if (overdue && !e.overdue) {
         // Danger: a store that answers some and leaves others out is neither silent nor full of errors.
         st.executions[k].overdue = true;
+        if (stores_.heard[e.store] < e.sent) tellZone(e.store, false, now);
         stores_.goodShare[e.store] -= kOverdueHurts * stores_.goodShare[e.store];
         cutLimit(e.store, e.sent, now);
       }
--- a/src/rules.h
+++ b/src/rules.h
@@ -210,6 +210,12 @@
   TimePoint rated = kNever;
 };
 
+// Tries in vain in a zone since its last word.
+struct ZoneDoubt {
+  int missed = 0;
+  TimePoint missedAt = kNever;
+};
+
 struct TenantState {
   double rate = 0;    // statements a second at this front
   double tokens = 0;  // within its share
@@ -254,6 +260,8 @@
   // primary search
   void learnRole(int s, Role role, TimePoint at, bool byReport);
   bool primaryUsable(const GroupState& g, TimePoint now) const;
+  bool doubted(int s, TimePoint now) const;
+  void tellZone(int s, bool heard, TimePoint now);
   bool primaryRoom(const GroupState& g, int stmt, TimePoint now) const;
   void namePrimary(int g, int s, Named named, TimePoint now);
   int searchTurn(int stmt, TimePoint now);
@@ -316,6 +324,7 @@
   TimePoint askAt_ = kNever;
   Span askBackoff_;
   std::vector<TenantState> tenants_;
+  std::vector<ZoneDoubt> zones_;
   double quotas_ = 0;  // of all tenants
   TimePoint tenantsAt_ = kNever;
   TimePoint wakeAt_ = kNever;
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -468,6 +468,50 @@
   std::printf("at once: %d at the primary; after 0.5 s: %d; after 15 s: %d\n", sent[0], sent[1], sent[2]);
 }
 
+// Danger: a zone is lost, and each front finds out store by store. Three tries in vain with no word from the zone
+// between, and its replicas are left to the others; one word from it, or a while, and they count again.
+void zoneDoubt() {
+  Bench b(Bench::terms({kAny}));
+  b.quiet = true;
+  b.rules.listBegins(true);
+  for (int s = 0; s < 21; ++s) b.listOne(s, s == 0, Listed::up, {}, s % 2);
+  b.rules.listEnds(true);
+  auto share = [&](const char* what) {
+    int there = 0;
+    for (int k = 0; k < 100; ++k) {
+      b.last = -1;
+      int stmt = b.arrive(0);
+      b.round();
+      there += b.last % 2;
+      if (b.last >= 0) b.answer(stmt, b.last % 2 ? Ending::moot : Ending::ok);
+      b.rules.gone(stmt);
+    }
+    std::printf("%s: %s of 100 reads go to zone 1\n", what, there == 0 ? "none" : there < 10 ? "a few" : there > 30 ? "half" : "some");
+  };
+  auto vain = [&](int times) {
+    for (int k = 0, tried = 0; k < times && tried < 2000; ++tried) {
+      b.last = -1;
+      int stmt = b.arrive(0);
+      b.round();
+      bool one = b.last % 2 == 1;
+      if (b.last >= 0) b.answer(stmt, one ? Ending::connectFailed : Ending::ok);
+      b.rules.gone(stmt);
+      k += one;
+    }
+  };
+  share("all well");
+  vain(2);
+  share("two tries in vain");
+  vain(1);
+  share("three");
+  for (int s = 1; s < 21; s += 2) b.rules.probed(s, true, {}, b.clock);
+  share("a word from it");
+  vain(3);
+  share("three more");
+  b.pass(2100);
+  share("after eight connect time-outs");
+}
+
 // Danger: a look for nearly every bounded read, half of them in vain, while primaries have room. Where its pace has a
 // place the primary takes it at once; where it was cut, is cold, or is named by a report alone, a look comes first.
 void primaryFirst() {
@@ -874,7 +918,7 @@
     {"readAsLook", readAsLook}, {"probesEarned", probesEarned}, {"repeats", repeats},
     {"standing", standing}, {"manyFronts", manyFronts}, {"tenantShares", tenantShares},
     {"paceReturns", paceReturns}, {"coldPrimary", coldPrimary}, {"firstReads", firstReads},
-    {"looks", looks}, {"primaryFirst", primaryFirst}, {"hostsShared", hostsShared}, {"jammedPrimary", jammedPrimary}, {"searchInVain", searchInVain},
+    {"looks", looks}, {"primaryFirst", primaryFirst}, {"zoneDoubt", zoneDoubt}, {"hostsShared", hostsShared}, {"jammedPrimary", jammedPrimary}, {"searchInVain", searchInVain},
     {"othersKeep", othersKeep},
     {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"places", places}, {"oneInVain", oneInVain}, {"oneConnection", oneConnection}, {"sendBy", sendBy}, {"cutOff", cutOff},
 };
