--- a/src/zones/sight.cpp
+++ b/src/zones/sight.cpp
@@ -115,10 +115,4 @@
   return static_cast<int>(std::count_if(stores_.begin(), stores_.end(), [&](const Store& s) { return s.zone == zone; }));
 }
 
-const std::string& Watch::zoneOf(int store) const {
-  static const std::string kNone;
-  std::size_t s = static_cast<std::size_t>(store);
-  return s < stores_.size() ? stores_[s].zone : kNone;
-}
-
 }  // namespace reedchute::zones
--- a/src/zones/sight.h
+++ b/src/zones/sight.h
@@ -58,7 +58,6 @@
   // The counts of each zone that the list names stores in.
   std::map<std::string, ZoneSight> counts(TimePoint now);
   int storesIn(const std::string& zone) const;
-  const std::string& zoneOf(int store) const;
 
  private:
   // Counts of a span are kept by parts of it, so that what is old goes.
--- a/src/zones/zones.cpp
+++ b/src/zones/zones.cpp
@@ -197,19 +197,17 @@
     if (isNew) it->second.since = held_[zone].wholeAt = now;
   }
   // The worst first, so that where only some may be left all fronts leave the same.
-  std::vector<std::pair<double, std::string>> order;
-  for (const auto& [zone, stores] : v.stores) {
-    Votes votes = votesOn(zone, v);
-    order.emplace_back(-(votes.gone * 2 + votes.grey), zone);
-  }
-  std::sort(order.begin(), order.end());
-  for (const auto& [badness, zone] : order) decideOne(zone, v, now);
+  std::vector<std::pair<std::string, Votes>> order;
+  for (const auto& [zone, stores] : v.stores) order.emplace_back(zone, votesOn(zone, v));
+  auto badness = [](const Votes& votes) { return votes.gone * 2 + votes.grey; };
+  std::stable_sort(order.begin(), order.end(),
+                   [&](const auto& a, const auto& b) { return badness(a.second) > badness(b.second); });
+  for (auto& [zone, votes] : order) decideOne(zone, std::move(votes), v, now);
 }
 
-void Zones::decideOne(const std::string& zone, const Views& v, TimePoint now) {
+void Zones::decideOne(const std::string& zone, Votes votes, const Views& v, TimePoint now) {
   ZoneState& z = zones_[zone];
   Held& h = held_[zone];
-  Votes votes = votesOn(zone, v);
   z.gone = votes.goneFronts, z.grey = votes.greyFronts, z.fine = votes.fineFronts;
   int need = quorum(v);
   double weight = votes.gone + votes.grey + votes.fine;
@@ -311,7 +309,7 @@
   }
 }
 
-bool Zones::command(const std::string& zone, Command c, TimePoint now, std::string& why) {
+bool Zones::command(const std::string& zone, Command c, std::string& why) {
   auto it = zones_.find(zone);
   if (it == zones_.end()) return why = "no store of the list stands in this zone", false;
   ZoneState& z = it->second;
@@ -319,7 +317,6 @@
   if (c.order == Order::leave && z.stage != Stage::left && !mayLeave(zone))
     return why = "the zones that would remain are too few", false;
   z.command = std::move(c);
-  held_[zone].commandAt = now - z.command.age;
   return true;
 }
 
--- a/src/zones/zones.h
+++ b/src/zones/zones.h
@@ -78,7 +78,7 @@
 
   void decide(const Views& v, TimePoint now);
   // False where it is older than what is known, or would leave the last zone; `why` says so.
-  bool command(const std::string& zone, Command c, TimePoint now, std::string& why);
+  bool command(const std::string& zone, Command c, std::string& why);
   const std::map<std::string, ZoneState>& all() const { return zones_; }
   const ZoneState* find(const std::string& zone) const;
   std::vector<ZoneChange> takeChanges() { return std::exchange(changes_, {}); }
@@ -98,7 +98,6 @@
     TimePoint suspectedAt = kNever;  // since when the verdict holds without a break
     TimePoint answersAt = kNever;    // since when a left zone has answered without a break
     TimePoint wholeAt = kNever;
-    TimePoint commandAt = kNever;
   };
 
   static Opinion opinionOf(const Sight& s, const std::string& zone);
@@ -109,7 +108,7 @@
   void enter(const std::string& zone, Stage stage, Cause cause, double share, TimePoint now);
   Span hold(int tries) const;
   bool turn(const std::string& zone, std::size_t live, TimePoint now) const;
-  void decideOne(const std::string& zone, const Views& v, TimePoint now);
+  void decideOne(const std::string& zone, Votes votes, const Views& v, TimePoint now);
 
   Leaving rules_;
   std::string name_, ownZone_;
--- a/tests/zones.cpp
+++ b/tests/zones.cpp
@@ -150,7 +150,7 @@
   s.pass(ms(200));
   auto give = [&](const char* zone, Order o, std::uint64_t generation, const char* by) {
     std::string why;
-    bool taken = s.zones.command(zone, {o, generation, by, {}}, s.now, why);
+    bool taken = s.zones.command(zone, {o, generation, by, {}}, why);
     s.pass(ms(200));
     std::printf("%s says %s of %s, generation %d: %s\n", by, nameOf(o), zone, static_cast<int>(generation), taken ? "taken" : why.c_str());
     s.say("  so");
