--- a/src/zones/zones.cpp
+++ b/src/zones/zones.cpp
@@ -1,5 +1,7 @@
 #include "zones/zones.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -27,14 +29,8 @@
 }
 
 std::uint64_t hashOf(const std::string& a, const std::string& b, std::int64_t n) {
-  std::uint64_t h = 1469598103934665603ull;
-  auto add = [&](unsigned char c) { h = (h ^ c) * 1099511628211ull; };
-  for (char c : a) add(static_cast<unsigned char>(c));
-  add(0);
-  for (char c : b) add(static_cast<unsigned char>(c));
-  for (int k = 0; k < 8; ++k) add(static_cast<unsigned char>(n >> (8 * k)));
-  h ^= h >> 33, h *= 0xff51afd7ed558ccdull, h ^= h >> 33;
-  return h;
+  std::string whole = a + '\0' + b + '\0' + std::to_string(n);
+  return XXH3_64bits(whole.data(), whole.size());
 }
 
 }  // namespace
