List: a move keeps the old watch until the new answers; failed calls come again in time

Ruled out: a send after the entry was read (no send follows 'state=draining'). Later failures waited up to 7.5 s, beyond the 6 s by which all counts as told. Now it is watched from the known version, half the calls at a start, and a failed call comes again after 0.9 s at most.

Found by reading: on SIGHUP what the old service had written stood unread in a closed socket, though it counts as told; where lists are pushed, a call that failed left a gap of a connect time-out before the next; an answer without length that was reset passed for whole; interim responses without end and answers as fast as they can be read were never late.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -25,9 +25,13 @@
 // In connect time-outs: whoever has come is left alone for so long; owes a whole message; may be closed when idle.
 constexpr double kGrace = 0.1, kSilence = 6, kIdle = 8;
 // PROTOCOL: what a silent watch misses counts as told so long after it fell silent, and for a call that may wait, a
-// third of that after its wait. A watch waits half of it, and is broken a sixth later.
+// third of that after its wait, and so does whatever a call that failed did not bring. A watch waits two fifths of it,
+// and is broken a sixth later; what is left is for the next call, which may fail once more.
 constexpr Span kToldAnyway{6'000'000};
-constexpr double kWatchPart = 1.0 / 2, kSilentPart = 1.0 / 6;
+constexpr double kWatchPart = 2.0 / 5, kSilentPart = 1.0 / 6;
+// Where the list is pushed, what its agent has counts as told: as parts of the grace of a drain, how long a connection
+// to it may take, and the pause between calls that fail.
+constexpr double kDialPart = 2.0 / 5, kRetryPart = 1.0 / 5;
 constexpr double kFirstList = 2;   // connect time-outs that clients are kept waiting for the first list
 constexpr double kRemembered = 2;  // keepalives that a store which is gone is remembered for
 constexpr Span kTallyEvery{5'000'000};
@@ -37,6 +41,18 @@
           g.memory / kAnswerPart};
 }
 
+// On sockets what the list's service has counts as told at its time, whatever became of the calls.
+Given counted(Given g) {
+  g.terms.toldAnyway = kToldAnyway;
+  return g;
+}
+
+peers::List::Pace listPace(const Terms& t) {
+  Span dial = t.mustAsk ? t.connectTimeout : std::min(t.connectTimeout, t.drainGrace * kDialPart);
+  return {std::min(t.askEvery, kToldAnyway * kWatchPart), kToldAnyway * kSilentPart, dial,
+          std::min(t.connectTimeout, t.drainGrace) * kRetryPart, t.mustAsk};
+}
+
 // `part`: of all places for clients, that one protocol's have.
 peers::Clients::Limits clientLimits(const Given& g, std::size_t places, std::size_t part) {
   Span unit = g.terms.connectTimeout;
@@ -82,7 +98,7 @@
 }
 
 Front::Front(Given given)
-    : given_(std::move(given)),
+    : given_(counted(std::move(given))),
       rules_(given_.terms, scheduler_.now()),
       relay_(groups_),
       book_(scheduler_, rules_, relay_),
@@ -92,9 +108,7 @@
       route_(scheduler_, rules_, book_, send_, relay_, stores_),
       admit_(rules_, book_),
       list_(scheduler_, *this, given_.discovery, given_.discoveryHost,
-            {std::min(given_.terms.askEvery, kToldAnyway * kWatchPart), kToldAnyway * kSilentPart,
-             given_.terms.connectTimeout, given_.terms.mustAsk},
-            given_.memory / kListPart),
+            given_.known.version, listPace(given_.terms), given_.memory / kListPart),
       told_(scheduler_),
       listed_(scheduler_) {
   route_.list(&list_);
--- a/src/http/response.cpp
+++ b/src/http/response.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t kMostHead = 16 * 1024;
+constexpr int kMostInterim = 8;
 
 std::string lower(std::string_view t) {
   std::string s(t);
@@ -70,8 +71,8 @@
   return bytes.size() - rest.size();
 }
 
-void Response::ended() {
-  if (state_ == State::untilEnd)
+void Response::ended(bool reset) {
+  if (state_ == State::untilEnd && !reset)
     state_ = State::whole;
   else if (state_ != State::whole && state_ != State::bad)
     fail("the connection ended inside a response");
@@ -154,6 +155,7 @@
 void Response::headEnds() {
   headSize_ = 0;
   if (status_ >= 100 && status_ < 200) {  // an interim response: the real one follows
+    if (++interim_ > kMostInterim) return fail("interim responses without end");
     started_ = chunked_ = hasLength_ = false;
   } else if (status_ == 204 || status_ == 304) {
     state_ = State::whole;
--- a/src/http/response.h
+++ b/src/http/response.h
@@ -16,8 +16,9 @@
 
   // Takes bytes and returns how many of them belong to this response.
   std::size_t feed(std::string_view bytes);
-  // The connection ended: that is a body's proper end only where nothing else gave its length.
-  void ended();
+  // The connection ended: that is a body's proper end only where nothing else gave its length, and no end where it
+  // was reset.
+  void ended(bool reset);
 
   bool whole() const { return state_ == State::whole; }
   bool bad() const { return state_ == State::bad; }
@@ -40,6 +41,7 @@
   bool started_ = false, chunked_ = false, hasLength_ = false, keepsOpen_ = true;
   std::uint64_t left_ = 0;
   std::size_t headSize_ = 0;
+  int interim_ = 0;
 };
 
 }  // namespace reedchute::http
--- a/src/peers/list.cpp
+++ b/src/peers/list.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "http/response.h"
 #include "log/log.h"
@@ -9,7 +10,8 @@
 namespace reedchute::peers {
 namespace {
 
-constexpr std::int64_t kMostWaitMs = 60'000;  // the service allows no more
+constexpr std::int64_t kMostWaitMs = 60'000;      // the service allows no more
+constexpr std::size_t kMostInARow = 64 * 1024;  // bytes of an answer before others have their turn
 
 const char* readMember(const json::Value& v, Member& m) {
   auto text = [&](const char* name, std::string& to) {
@@ -86,54 +88,102 @@
   return true;
 }
 
-List::List(sched::Scheduler& s, Keeper& keeper, sockaddr_in service, std::string host, Pace pace,
+struct List::Service {
+  Service(sched::Scheduler& s, sockaddr_in at, std::string called) : address(at), host(std::move(called)), wakes(s) {}
+
+  sockaddr_in address;
+  std::string host, in;
+  std::optional<sched::Socket> socket;
+  sched::Event wakes;
+  std::int64_t version = 0;
+  bool known = false;   // `version` is of what this service knows
+  bool heard = false;   // it has answered
+  bool due = false;     // to be called without being asked for
+  bool early = false;   // its last answer had nothing new, and did not wait for it
+};
+
+List::List(sched::Scheduler& s, Keeper& keeper, sockaddr_in service, std::string host, std::int64_t known, Pace pace,
            std::size_t mostBody)
-    : scheduler_(s), keeper_(keeper), service_(service), host_(std::move(host)), pace_(pace),
-      mostBody_(mostBody), asked_(s) {}
+    : scheduler_(s), keeper_(keeper), pace_(pace), mostBody_(mostBody),
+      service_(std::make_shared<Service>(s, service, std::move(host))) {
+  service_->version = known;
+  service_->known = pace.onDemand;
+}
 
-void List::ask() { asked_.set(); }
+List::~List() = default;
+
+void List::ask() { service_->wakes.set(); }
+
+void List::leave(Called& s) {
+  if (s->socket) s->socket->close();
+  s->wakes.set();
+  s.reset();
+}
 
+// Danger: what the old service has written counts as told, read or not; closed unread it would be lost, and the new
+// one may be slow to say it.
 void List::moveTo(sockaddr_in service, std::string host) {
-  service_ = service, host_ = std::move(host);
-  moved_ = true, known_ = false;
-  if (socket_) socket_->close();
-  asked_.set();
+  Called last = std::exchange(service_, std::make_shared<Service>(scheduler_, service, std::move(host)));
+  if (last->heard || !before_) {
+    if (before_) leave(before_);
+    before_ = last;
+    last->wakes.set();
+  } else {
+    leave(last);
+  }
+  service_->due = true;
+  scheduler_.spawn(follow(service_));
 }
 
 sched::Task<> List::run() {
-  for (;;) {
-    if (pace_.onDemand && !moved_) co_await asked_.wait();
-    moved_ = false;
+  co_await follow(service_);
+}
+
+sched::Task<> List::follow(Called s) {
+  int failed = pace_.onDemand && !s->due ? 1 : 0;  // calls, one after the other
+  while (s == service_) {
+    if (failed > 0 && pace_.onDemand)
+      co_await s->wakes.wait();  // the module says when to call again
+    else if (failed > 1)
+      // Danger: a service that fails at once would be called in a loop. One call is made anew at once: a change may
+      // come in between, and counts as told.
+      co_await s->wakes.wait(scheduler_.now() + pace_.retry);
+    if (s != service_) break;
     // A watch goes on for as long as each next call follows the last answer at once.
-    for (bool good = true; good;) good = co_await call();
-    if (moved_) continue;
-    if (pace_.onDemand) {
-      keeper_.listFailed();  // and the module says when to call again
-    } else {
-      // Danger: a service that fails at once would be called in a loop.
-      co_await asked_.wait(scheduler_.now() + pace_.pause);
+    for (bool good = true; good;) {
+      good = co_await call(*s);
+      if (good) failed = 0;
+      if (good && s->early) co_await sched::sleepUntil(scheduler_, scheduler_.now() + pace_.retry);
+      if (s != service_ && s != before_) co_return;
     }
+    ++failed;
+    if (s == service_ && pace_.onDemand) keeper_.listFailed();
   }
 }
 
-sched::Task<bool> List::call() {
-  bool whole = !known_;
+sched::Task<bool> List::call(Service& s) {
+  bool whole = !s.known;
   std::int64_t waitMs = std::min(kMostWaitMs, pace_.wait.us / 1000);
   std::string path = "/catalog/members";
-  if (!whole) path += "?index=" + std::to_string(version_) + "&wait=" + std::to_string(waitMs);
+  if (!whole) path += "?index=" + std::to_string(s.version) + "&wait=" + std::to_string(waitMs);
   // Danger: a watch that has fallen silent looks like one with nothing to tell. Where the list is pushed the whole of
   // it comes from this machine at once; a service that many ask may take its time.
   Span limit = whole && !pace_.onDemand ? pace_.silence : pace_.wait + pace_.silence;
   std::string body;
-  bool got = co_await exchange(path, scheduler_.now() + limit, body);
-  // Danger: the last word of the old service, taken for the new one's, would hide what the new one has to tell.
-  if (got && !moved_ && take(body, whole)) co_return true;
-  socket_.reset();
-  in_.clear();
+  TimePoint begun = scheduler_.now();
+  std::int64_t had = s.version;
+  bool got = co_await exchange(s, path, begun + limit, body);
+  // Danger: a service may answer at once that there is nothing new, and would be called in a loop.
+  if (got && take(s, body, whole)) {
+    s.early = !whole && s.version == had && scheduler_.now() - begun < pace_.retry;
+    co_return true;
+  }
+  s.socket.reset();
+  s.in.clear();
   co_return false;
 }
 
-bool List::take(const std::string& body, bool whole) {
+bool List::take(Service& s, const std::string& body, bool whole) {
   json::Value value;
   Roster roster;
   std::string why;
@@ -145,53 +195,64 @@
     log::line("list_bad", "what=\"changes where the whole list was asked for\"");
     return false;
   }
-  if (!roster.full && roster.version < version_) {
+  // Danger: a call that was left may have had its answer already; that is not the word of the one called now.
+  if (&s != service_.get() && &s != before_.get()) return false;
+  bool first = !std::exchange(s.heard, true);
+  if (!roster.full && roster.version < s.version) {
     log::line("list_back", "version=%lld held=%lld", static_cast<long long>(roster.version),
-              static_cast<long long>(version_));
-    known_ = false;  // the service has started anew: the whole list is fetched
+              static_cast<long long>(s.version));
+    s.known = false;  // the service has started anew: the whole list is fetched
     return true;
   }
-  version_ = roster.version;
-  known_ = true;
-  if (roster.full || !roster.members.empty()) keeper_.listCame(roster);
+  s.version = roster.version;
+  s.known = true;
+  if (first || roster.full || !roster.members.empty()) keeper_.listCame(roster);
+  if (&s == service_.get() && before_) leave(before_);
   return true;
 }
 
-sched::Task<bool> List::exchange(const std::string& path, TimePoint until, std::string& body) {
-  if (socket_ && socket_->open()) {
+sched::Task<bool> List::exchange(Service& s, const std::string& path, TimePoint until, std::string& body) {
+  if (s.socket && s.socket->open()) {
     // A kept connection that the service has closed meanwhile is noticed before it is used.
-    in_.clear();
-    if (socket_->read(in_, mostBody_) != sched::Socket::Got::nothing) socket_->close();
+    s.in.clear();
+    if (s.socket->read(s.in, mostBody_) != sched::Socket::Got::nothing) s.socket->close();
   }
-  if (!socket_ || !socket_->open()) {
-    in_.clear();
-    socket_.emplace(scheduler_, sched::startConnect(service_));
-    bool up = co_await sched::connected(*socket_, std::min(until, scheduler_.now() + pace_.pause));
+  if (!s.socket || !s.socket->open()) {
+    s.in.clear();
+    s.socket.emplace(scheduler_, sched::startConnect(s.address));
+    bool up = co_await sched::connected(*s.socket, std::min(until, scheduler_.now() + pace_.connect));
     if (!up) {
       log::line("list_away", "what=\"no connection\"");
       co_return false;
     }
   }
-  std::string call = "GET " + path + " HTTP/1.1\r\nHost: " + host_ + "\r\nAccept: application/json\r\n\r\n";
-  bool sent = co_await sched::writeAll(*socket_, call, until);
+  std::string call = "GET " + path + " HTTP/1.1\r\nHost: " + s.host + "\r\nAccept: application/json\r\n\r\n";
+  bool sent = co_await sched::writeAll(*s.socket, call, until);
   if (!sent) co_return false;
   http::Response response(mostBody_);
-  for (;;) {
-    in_.erase(0, response.feed(in_));
+  for (std::size_t inARow = 0;;) {
+    inARow += s.in.size();
+    s.in.erase(0, response.feed(s.in));
     if (response.whole() || response.bad()) break;
-    sched::Socket::Got got = socket_->read(in_, mostBody_);
-    if (got == sched::Socket::Got::some) continue;
+    // Danger: an answer without end, as fast as it can be read, would have this thread for itself and never be late.
+    if (inARow > kMostInARow) {
+      inARow = 0;
+      co_await sched::sleepUntil(scheduler_, scheduler_.now() + Span{1});
+    }
+    sched::Socket::Got got = s.socket->read(s.in, kMostInARow);
+    if (got == sched::Socket::Got::some && scheduler_.now() < until) continue;
     if (got == sched::Socket::Got::ended) {
-      response.ended();
+      response.ended(s.socket->wasReset());
       break;
     }
-    bool set = co_await socket_->in.wait(until);
+    bool set = false;
+    if (got == sched::Socket::Got::nothing) set = co_await s.socket->in.wait(until);
     if (!set) {
       log::line("list_silent", "path=%s", path.c_str());
       co_return false;
     }
   }
-  if (response.whole() && !response.keepsOpen()) socket_->close();
+  if (response.whole() && !response.keepsOpen()) s.socket->close();
   if (!response.whole() || response.status() != 200) {
     log::line("list_bad", "status=%d what=\"%s\"", response.status(), response.why().c_str());
     co_return false;
--- a/src/peers/list.h
+++ b/src/peers/list.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -47,34 +48,37 @@
   struct Pace {
     Span wait;      // that a watch may be held
     Span silence;   // beyond that: a call without an answer by then is broken and made anew
-    Span pause;     // before a call that failed is made again
+    Span connect;   // that a connection may take to come up
+    Span retry;     // between two calls where the last ones failed
     bool onDemand;  // called only when the module asks
   };
-  List(sched::Scheduler& s, Keeper& keeper, sockaddr_in service, std::string host, Pace pace,
+  // `known`: the version of the list that is known already. Where each call is work for a service that many ask, it is
+  // watched from there on; else the whole list comes first.
+  List(sched::Scheduler& s, Keeper& keeper, sockaddr_in service, std::string host, std::int64_t known, Pace pace,
        std::size_t mostBody);
+  ~List();
 
   sched::Task<> run();
-  // The service is at another address from now on: a call to the old one ends at once, and the whole list is
-  // fetched from the new one. A version counts only where it came from.
+  // The service is at another address from now on, and the whole list is fetched from there. Until it has come, what
+  // the old one says still counts. A version counts only where it came from.
   void moveTo(sockaddr_in service, std::string host);
   void ask();  // where it comes on demand
 
  private:
-  sched::Task<bool> call();  // the whole list, or a watch where it is known
-  sched::Task<bool> exchange(const std::string& path, TimePoint until, std::string& body);
-  bool take(const std::string& body, bool whole);
+  struct Service;  // that is called, over one connection that is kept
+  using Called = std::shared_ptr<Service>;
+
+  sched::Task<> follow(Called s);
+  sched::Task<bool> call(Service& s);  // the whole list, or a watch where it is known
+  sched::Task<bool> exchange(Service& s, const std::string& path, TimePoint until, std::string& body);
+  bool take(Service& s, const std::string& body, bool whole);
+  void leave(Called& s);
 
   sched::Scheduler& scheduler_;
   Keeper& keeper_;
-  sockaddr_in service_;
-  std::string host_;
   Pace pace_;
   std::size_t mostBody_;
-  sched::Event asked_;
-  std::optional<sched::Socket> socket_;
-  std::string in_;
-  std::int64_t version_ = 0;
-  bool known_ = false, moved_ = false;
+  Called service_, before_;  // `before_`: the one that was called until now, where the new one has not answered yet
 };
 
 }  // namespace reedchute::peers
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,6 +30,7 @@
 // The list, as shares of the time after which a front must have asked.
 constexpr double kAskFirst = 0.1;
 constexpr double kAskLast = 0.5;
+constexpr double kAskAnyway = 0.1;  // of the time after which what it has counts as told all the same
 // Primary search.
 constexpr double kSearchGap = 0.1;    // of the workload's SLO time, between two tries at members in turn
 constexpr double kSearchAgain = 0.5;  // of the SLO time, before a member seen as replica is tried again
@@ -113,7 +114,10 @@
   firstLimit_ = std::min(kFirstLimit, kTogether / terms_.fronts);
   memory_ = std::max(terms_.coldRamp * kMemory, smallestSlo_);
   terms_.askEvery = std::max(terms_.askEvery, smallestSlo_);
-  askBackoff_ = terms_.askEvery * kAskFirst;
+  // Danger: calls may fail one after the other; what changes meanwhile counts as told at its time all the same.
+  Span most = terms_.toldAnyway > Span{} ? terms_.toldAnyway * kAskAnyway : kForever - kNever;
+  askLast_ = std::min(terms_.askEvery * kAskLast, most);
+  askBackoff_ = askFirst_ = std::min(terms_.askEvery * kAskFirst, most);
   if (terms_.mustAsk) askAt_ = now;
   tenants_.resize(terms_.tenants.size());
   for (const Tenant& t : terms_.tenants) quotas_ += t.quota;
@@ -151,13 +155,13 @@
 void Rules::listEnds(bool asked) {
   for (std::size_t s = 0; s < stores_.inList.size(); ++s)
     if (!stores_.inList[s] && terms_.goneBinds) stores_.listed[s] = Listed::gone;
-  if (asked) askBackoff_ = terms_.askEvery * kAskFirst;
+  if (asked) askBackoff_ = askFirst_;
 }
 
 void Rules::listFailed(TimePoint now) {
   // Danger: the list's service is small; fronts that all ask again at once keep it from answering any.
   askAt_ = now + askBackoff_ * (0.5 + unit(chance_));
-  askBackoff_ = std::min(askBackoff_ * 2, terms_.askEvery * kAskLast);
+  askBackoff_ = std::min(askBackoff_ * 2, askLast_);
 }
 
 // Danger: a zone that is taken back is cold, and each front that found its stores away would look at each.
--- a/src/rules.h
+++ b/src/rules.h
@@ -59,6 +59,8 @@
   Span maxComeBack;
   Span connectTimeout;
   Span askEvery;
+  Span toldAnyway;  // what the list's service has counts as told by then, whatever became of calls; none: never
+  Span drainGrace;  // that sends to a store may go on after it was told to drain
   Span coldRamp;
   Span coldWindow;
   double coldFrom = 1;
@@ -328,7 +330,7 @@
   TimePoint crowdedAt_ = kNever;  // last seen that stores, not one alone, have no room for connections
   std::vector<int> used_;         // stores that answered in this round
   TimePoint askAt_ = kNever;
-  Span askBackoff_;
+  Span askBackoff_, askFirst_, askLast_;
   std::vector<TenantState> tenants_;
   std::vector<ZoneState> zones_;
   double quotas_ = 0;  // of all tenants
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -69,6 +69,8 @@
   t.maxComeBack = Span{p.integer("limits.max_retry_after", 0)};
   t.connectTimeout = Span{p.integer("limits.connect_timeout")};
   t.askEvery = Span{p.integer("obligations.ask_every")};
+  // Where it is not told, a connect time-out: less than any grace that was ever given.
+  t.drainGrace = Span{p.integer("obligations.stop_sending_within", t.connectTimeout.us)};
   t.coldRamp = Span{p.integer("obligations.ramp_time")};
   t.coldWindow = Span{p.integer("obligations.tip_after")};
   t.coldFrom = p.number("obligations.cold_from");
--- a/tests/parsers.cpp
+++ b/tests/parsers.cpp
@@ -93,11 +93,11 @@
   everySplit(std::string(65, '[') + std::string(65, ']'), readJson);
 }
 
-std::string readHttp(const std::vector<std::string>& parts) {
+std::string readHttp(const std::vector<std::string>& parts, bool reset = false) {
   http::Response r(64);
   std::size_t used = 0;
   for (const std::string& part : parts) used += r.feed(part);
-  if (!r.whole() && !r.bad()) r.ended();
+  if (!r.whole() && !r.bad()) r.ended(reset);
   if (r.bad()) return "bad: " + r.why();
   return std::to_string(r.status()) + " '" + r.body() + "' used " + std::to_string(used) +
          (r.keepsOpen() ? ", stays open" : ", closes");
@@ -128,10 +128,16 @@
   for (const auto& [name, text] : cases) {
     std::printf("%-36s ", name);
     if (text.size() < 1000)
-      everySplit(text, readHttp);
+      everySplit(text, [](const std::vector<std::string>& parts) { return readHttp(parts); });
     else
       std::printf("%s\n", readHttp({text}).c_str());
   }
+  std::printf("%-36s ", "without a length, and then reset");
+  everySplit("HTTP/1.0 200 OK\r\n\r\nall of it", [](const std::vector<std::string>& parts) { return readHttp(parts, true); });
+  std::string interim;
+  for (int k = 0; k < 9; ++k) interim += "HTTP/1.1 100 Continue\r\n\r\n";
+  std::printf("%-36s ", "interim responses without end");
+  everySplit(interim, [](const std::vector<std::string>& parts) { return readHttp(parts); });
 }
 
 std::string readMessages(const std::vector<std::string>& parts) {
