A repeat whose connection comes up after its window is not sent

Found by reading: mayRunAgain judges the window when the store is chosen, but the execution leaves once its connection has come up, up to a connect time-out later. It now names the moment by which it must leave, as bounded reads do.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -819,16 +819,21 @@
 
 void Rules::send(int stmt, int s, TimePoint now, Writer& out) {
   Stmt& st = stmts_[stmt];
+  const Workload& w = terms_.workloads[st.workload];
   bool paced = stores_.limit[s] >= 1 || stores_.freeAt[s] > now;
+  TimePoint leaveBy = st.giveUpAt;
+  // Danger: a connection takes its time to come up; a repeat that leaves after the window takes effect once more.
+  for (const Execution& e : st.executions)
+    if (e.mayHaveRun && w.effect == Effect::deduplicated)
+      leaveBy = std::min(leaveBy, e.sent + w.window - terms_.tick);
   st.executions.push_back({.store = s, .sent = now, .out = true, .paced = paced});
   ++stores_.out[s];
   stores_.freeAt[s] = std::max(now, stores_.freeAt[s]) + typical_[st.workload] * (1 / stores_.limit[s]);
   if (warmth(s, now) < 1) stores_.coldBudget[s] -= least_[st.workload].seconds() / meanWork_;
   if (stores_.block[s] > Span{}) stores_.blockedUntil[s] = now + stores_.block[s];  // a trial: one at a time
   // Danger: a connection takes its time to come up; a bounded read that leaves too late is a stale one.
-  const Workload& w = terms_.workloads[st.workload];
   bool ages = w.level == Level::bounded && s != groups_[st.group].primary && !terms_.storesCheck;
-  out.send(stmt, s, st.giveUpAt, ages ? stores_.position[s] + w.bound : st.giveUpAt);
+  out.send(stmt, s, st.giveUpAt, ages ? std::min(leaveBy, stores_.position[s] + w.bound) : leaveBy);
 }
 
 // ---- facts and the round ----
