A client that has gone is noticed behind all it sent, and rest ends with a shutdown

Found by reading: an end that came in one edge with the bytes before it was never read (Socket::read returns at a short read), so a client that asked and went at once was only noticed at its next byte; one that had sent more than 16 KB ahead was not noticed at all. Epoll's word on the end is now kept with the descriptor. A resting connection that is closed at the end is shut first and read to its end: a close over a request that came in that moment would reset it.

--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -185,7 +185,13 @@
     }
     co_return true;
   }
-  if (got == sched::Socket::Got::ended || (idle && away_)) co_return false;
+  if (got == sched::Socket::Got::ended) co_return false;
+  // Danger: a request may come in this very moment; a close over its unread bytes would reset the connection, and an
+  // answer that is still on its way would be lost with it. What comes after the end is read, and not sent on.
+  if (idle && away_) {
+    s.ending = true;
+    co_return true;
+  }
   s.inARow = 0;
   TimePoint now = scheduler_.now();
   if (idle) s.begun = kNever;
@@ -204,7 +210,10 @@
     set = co_await wait(s, asksAgain ? idle_ : unheard_, until);
   if (set) co_return true;
   // Danger: clients that ask once and keep their connection for good pile up.
-  if (idle) co_return sessions_.size() * 2 <= limits_.sessions;
+  if (idle) {
+    s.ending = sessions_.size() * 2 > limits_.sessions;
+    co_return true;
+  }
   bool greeted = s.talk->greeted();
   log::line("client_silent", "what=%s", greeted ? "message" : "startup");
   s.talk->part(greeted ? Parting::unfinished : Parting::noStartup);
@@ -213,13 +222,14 @@
 
 sched::Task<> Clients::answerOwed(Session& s) {
   while (s.talk->full() && s.out.empty()) {
-    co_await s.socket.in.wait();
-    if (!s.talk->full()) break;
-    // What a client sends ahead is read later; that it leaves shows at once.
-    if (!s.socket.open() || s.more(kMostAhead) == sched::Socket::Got::ended) {
+    // What a client sends ahead is read later; that it leaves shows at once. Danger: one that sends much at once and
+    // goes stands behind all that it sent.
+    if (!s.socket.open() || s.socket.peerEnded() || s.more(kMostAhead) == sched::Socket::Got::ended) {
       s.talk->left();
       s.socket.close();
+      co_return;
     }
+    co_await s.socket.in.wait();
   }
 }
 
@@ -248,7 +258,8 @@
   Session& s = *owned;
   if (turnAway) s.talk->part(Parting::fullHouse);
   bool good = true;
-  while (good && !s.ending && s.socket.open()) {
+  // Danger: what a client asked that has gone meanwhile would still be sent on.
+  while (good && !s.ending && s.socket.open() && !s.socket.peerEnded()) {
     std::size_t used = 0;
     if (s.talk->full()) {
       co_await answerOwed(s);
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -92,6 +92,7 @@
   // again at once. So all events of a pass are noted before the first coroutine runs.
   for (int k = 0; k < n; ++k) {
     Descriptor& d = *static_cast<Descriptor*>(events[k].data.ptr);
+    if (events[k].events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) d.peerEnded_ = true;
     if (events[k].events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) d.in.set();
     if (events[k].events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) d.out.set();
   }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -110,11 +110,16 @@
   int fd() const { return fd_; }
   bool open() const { return fd_ >= 0; }
   void close();
+  // Has the other side ended its sending, or broken the connection? It shows here even while bytes that came before
+  // stand unread.
+  bool peerEnded() const { return peerEnded_; }
 
   Event in, out;
 
  private:
+  friend class Scheduler;
   int fd_;
+  bool peerEnded_ = false;
 };
 
 }  // namespace reedchute::sched
--- a/src/sched/socket.h
+++ b/src/sched/socket.h
@@ -31,12 +31,17 @@
   using Descriptor::Descriptor;
 
   enum class Got { some, nothing, ended };
-  // Appends what has come to `into`, at most until it holds `most` bytes.
+  // Appends what has come to `into`, at most until it holds `most` bytes. `ended`: nothing more will come.
   Got read(std::string& into, std::size_t most);
+  // Did it end by a reset? Then what came may lack its end.
+  bool wasReset() const { return wasReset_; }
   // Writes what the kernel takes now and returns the rest; nothing once the connection is broken.
   std::optional<std::string_view> write(std::string_view bytes);
   // Ends the sending side only.
   void endWriting();
+
+ private:
+  bool wasReset_ = false;
 };
 
 // Writes all; false where the connection broke or the time came before the kernel had taken the last byte.
