Parameters and notices without end make a store's answer spoilt

Found by reading: take() drops them one by one, and a store that sends them as fast as they are read keeps the thread for good. An idle connection whose last bytes came with its end is no longer given a statement.

--- a/src/doors/pg/carrier.cpp
+++ b/src/doors/pg/carrier.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::size_t kReadAtOnce = 64 * 1024;  // before what came is looked at
+constexpr std::size_t kMostBeside = 64 * 1024;  // of parameters and notices, in one answer or between two
 constexpr std::size_t kTail = 256;              // what usually follows a row
 constexpr const char *kUser = "web", *kDatabase = "orders";  // as clients give them
 
@@ -51,8 +52,14 @@
 
   enum class Seen { nothing, good, broken };
 
-  // Takes one message off the buffer; `broken` where the stream makes no sense.
+  // Takes one message off the buffer; `broken` where the stream makes no sense. Danger: parameters and notices without
+  // end, as fast as they can be read, would have this thread for themselves.
   Seen take(pg::Message& m) {
+    Seen seen = frame(m);
+    if (seen == Seen::good && (m.type == 'S' || m.type == 'N')) beside += m.whole.size();
+    return beside > kMostBeside ? Seen::broken : seen;
+  }
+  Seen frame(pg::Message& m) {
     used = 0;
     std::string_view rest = std::string_view(in).substr(kept);
     if (!pg::storeMessageMayFollow(rest, stores.limits().row)) return Seen::broken;
@@ -71,7 +78,8 @@
 
   // Between jobs: is it still open, and has nothing come that a job's answer could be mistaken for?
   bool quiet() {
-    if (socket.read(in, kReadAtOnce) == sched::Socket::Got::ended) return false;
+    // What came last may have come with the end.
+    if (socket.read(in, kReadAtOnce) == sched::Socket::Got::ended || socket.peerEnded()) return false;
     pg::Message m;
     while (take(m) == Seen::good && (m.type == 'S' || m.type == 'N')) drop();
     return in.empty();
@@ -115,6 +123,7 @@
 
   sched::Socket socket;
   std::string in;
+  std::size_t beside = 0;          // bytes of parameters and notices since the last answer
   std::size_t used = 0, kept = 0;  // of `in`: the message in hand; before it, what of the answer goes on as it came
   Job* job = nullptr;
   bool garbled = false, late = false;
@@ -229,6 +238,7 @@
         sound = complete != failed;
         if (!sound) break;
         drop();
+        beside = 0;
         if (complete) j.ending = Ending::ok, handOver(j);
         in.erase(0, kept), kept = 0;  // an error may have come in a row's place
         co_return true;
