--- a/src/rules.h
+++ b/src/rules.h
@@ -265,6 +265,7 @@
   int routeCurrent(int stmt, TimePoint now);
   void learnPosition(int s, TimePoint position, Span known, TimePoint now);
   // primary search
+  void startedAnew(int s);
   void learnRole(int s, Role role, TimePoint at, bool byReport);
   bool primaryUsable(const GroupState& g, TimePoint now) const;
   bool doubted(int s, TimePoint now) const;
