A statement's clock starts with its last byte; reads of one client go side by side

Now the session knows when each byte came (peers/arrivals.h), the door hands that on with the statement, and the time is counted in one place, Front::admit, for both doors. Bytes that stand unread for want of room count from the first moment in which they may have come. Reads of one client go side by side and are answered in their order; a write waits for all before it, and all behind it wait for it. What one client has in hand, what waits for its turn and what is read ahead is bounded by parts of the memory.

Six tests in tests/pipeline.cpp.

--- a/src/doors/cql/take_in.cpp
+++ b/src/doors/cql/take_in.cpp
@@ -242,7 +242,7 @@
   Arrival& a = r.taken.arrival;
   a.workload = placed.workload, a.group = placed.group;
   r.taken.mark = exchange::markOf(r.taken.tenant, groups_.id(placed.group), r.told.mark);
-  a.giveUpAt = r.now + (r.waitMs ? Span{*r.waitMs * 1000} : placed.timeout ? *placed.timeout : given_.timeout);
+  r.taken.timeout = r.waitMs ? Span{*r.waitMs * 1000} : placed.timeout ? *placed.timeout : given_.timeout;
   // Danger: a commit's time is rounded up and may lie ahead of this clock; it is a write all the same.
   auto since = [&](TimePoint position) { return std::max(Span{1}, r.now - position); };
   if (r.afterMs) a.sinceWrite = since(TimePoint{*r.afterMs * 1000});
--- a/src/doors/cql/talk.cpp
+++ b/src/doors/cql/talk.cpp
@@ -58,10 +58,11 @@
       if (one.stmt >= 0) door_.desk.left(one.stmt);
   }
 
-  bool take(std::string_view bytes, std::size_t& used) override {
+  bool take(std::string_view bytes, const peers::Arrivals& came, std::size_t& used) override {
     if (state_ == State::fresh && !versionMayBe(bytes)) return true;
     Frame f;
     Framed got = framing_.next(bytes, used, f);
+    if (used > 0) came_ = came.at(used);  // where none is used, the frame stood in a segment that came before
     if (got == Framed::partial) return false;
     if (got == Framed::bad) {
       log::line("client_garbled", "what=\"%s\"", framing_.why());
@@ -253,6 +254,7 @@
     Outcome o = door_.takeIn.read(f, keyspace_, door_.scheduler.now());
     if (!o.useKeyspace.empty()) keyspace_ = o.useKeyspace;
     if (!o.taken) return put(0, f.stream, o.opcode, o.body);
+    o.taken->came = came_;
     o.taken->speech = door_.speeches[version_ - cql::kLowest];
     // It may be answered at once, before its index is known.
     open_[f.stream].pending = std::move(o.pending);
@@ -310,6 +312,7 @@
   State state_ = State::fresh;
   int version_ = cql::kLowest;
   std::string keyspace_;
+  TimePoint came_;  // the bytes that were taken last
   std::map<int, Open> open_;  // by stream
 };
 
--- a/src/doors/pg/take_in.cpp
+++ b/src/doors/pg/take_in.cpp
@@ -60,7 +60,7 @@
     return refusal("22023", "no k where the workload needs one");
   if (f.afterMs && (*f.afterMs < 0 || *f.afterMs > kLatestMs)) return refusal("22023", "a position that makes no sense");
   if (*f.waitMs > kLongestWaitMs) return refusal("22023", "a wait that makes no sense");
-  a.giveUpAt = now + Span{*f.waitMs * 1000};
+  taken.timeout = Span{*f.waitMs * 1000};
   a.session = sessionOf(f.key);
   a.repeated = f.repeated;
   // Danger: a commit's time is rounded up and may lie ahead of this clock; it is a write all the same.
--- a/src/doors/pg/take_in.h
+++ b/src/doors/pg/take_in.h
@@ -22,13 +22,18 @@
 
 class TakeIn {
  public:
-  TakeIn(const Names& names, const Index<std::int64_t>& groups, const exchange::OpenIds& openIds)
-      : names_(names), groups_(groups), openIds_(openIds) {}
+  TakeIn(const Terms& terms, const Names& names, const Index<std::int64_t>& groups, const exchange::OpenIds& openIds)
+      : terms_(terms), names_(names), groups_(groups), openIds_(openIds) {}
 
   // Either fills `taken`, or returns the whole answer that the client gets at once.
   std::optional<std::string> read(std::string_view text, TimePoint now, exchange::Taken& taken) const;
 
+  bool writes(int workload) const {
+    return terms_.workloads[static_cast<std::size_t>(workload)].level == Level::write;
+  }
+
  private:
+  const Terms& terms_;
   const Names& names_;
   const Index<std::int64_t>& groups_;
   const exchange::OpenIds& openIds_;
--- a/src/doors/pg/talk.cpp
+++ b/src/doors/pg/talk.cpp
@@ -1,5 +1,7 @@
 #include "doors/pg/talk.h"
 
+#include <algorithm>
+#include <deque>
 #include <utility>
 
 #include "log/log.h"
@@ -12,17 +14,29 @@
 constexpr std::size_t kMostMessage = 160 * 1024;  // a value of 64 KiB in hex digits, and the rest
 constexpr std::size_t kMostStartup = 10'000;      // as PostgreSQL has it
 
+// Statements of one client go side by side as far as that shows in nothing but time: their answers go out in
+// the order of the statements, and a write waits until all before it have their answers, as what stands
+// behind a write does.
 class Session : public peers::Talk, public exchange::Asker {
  public:
   Session(Door& door, peers::Line& line) : door_(door), line_(line) {}
+  ~Session() override { keep(0); }
 
-  bool take(std::string_view bytes, std::size_t& used) override {
-    return greeted_ ? takeMessage(bytes, used) : takeStartup(bytes, used);
+  bool take(std::string_view bytes, const peers::Arrivals& came, std::size_t& used) override {
+    return greeted_ ? takeMessage(bytes, came, used) : takeStartup(bytes, used);
   }
   bool greeted() const override { return greeted_; }
-  std::size_t owed() const override { return stmt_ >= 0; }
-  bool full() const override { return stmt_ >= 0; }
-  void left() override { door_.desk.left(std::exchange(stmt_, -1)); }
+  std::size_t owed() const override { return replies_.size(); }
+  bool full() const override {
+    if (replies_.empty()) return false;
+    return waits_ || replies_.back().last || replies_.size() >= door_.pipeline.statements ||
+           door_.kept > door_.pipeline.bytes || !door_.desk.roomy();
+  }
+  void left() override {
+    for (auto all = std::exchange(replies_, {}); const Reply& r : all)
+      if (r.stmt >= 0) door_.desk.left(r.stmt);
+    keep(0);
+  }
 
   void part(peers::Parting why) override {
     switch (why) {
@@ -37,27 +51,59 @@
     }
   }
 
-  void completed(int, exchange::Answer answer, int, std::optional<TimePoint>) override {
+  void completed(int ticket, exchange::Answer answer, int, std::optional<TimePoint>) override {
     answer.bytes += pg::ready();
-    answered(std::move(answer.bytes));
+    answered(ticket, std::move(answer.bytes));
   }
-  void rejected(int, Span comeBack) override {
+  void rejected(int ticket, Span comeBack) override {
     std::string back = comeBack > Span{} ? std::to_string(comeBack.us / 1000) : std::string();
-    answered(pg::error(false, "53300", "rejected: trying again does no harm", back) + pg::ready());
+    answered(ticket, pg::error(false, "53300", "rejected: trying again does no harm", back) + pg::ready());
   }
   // Danger: 53300 and 57P03 tell a client that trying again is harmless, and here it may not be.
-  void aborted(int) override { answered(pg::error(false, "57014", "aborted: it may have run") + pg::ready()); }
+  void aborted(int ticket) override {
+    answered(ticket, pg::error(false, "57014", "aborted: it may have run") + pg::ready());
+  }
 
  private:
-  void answered(std::string bytes) {
-    stmt_ = -1;
-    line_.say(std::move(bytes));
+  // What a message of the client's is owed, in their order.
+  struct Reply {
+    int stmt = -1;
+    bool write = false;
+    bool done = false;  // `bytes` are the whole of it
+    bool last = false;  // the connection ends behind it
+    std::string bytes;
+  };
+
+  void keep(std::size_t bytes) {
+    door_.kept -= kept_;
+    door_.kept += kept_ = bytes;
   }
-  // The last that it is told, before its connection ends.
-  void end(std::string_view code, std::string_view text) {
-    line_.say(pg::error(true, code, text));
-    line_.end();
+  void answered(int ticket, std::string bytes) {
+    Reply& r = replies_[static_cast<std::size_t>(ticket - first_)];
+    r.stmt = -1, r.done = true, r.bytes = std::move(bytes);
+    keep(kept_ + r.bytes.size());
+    settle();
   }
+  // Says what has its turn.
+  void settle() {
+    while (!replies_.empty() && replies_.front().done) {
+      Reply r = std::move(replies_.front());
+      replies_.pop_front();
+      ++first_, waits_ = false;
+      keep(kept_ - r.bytes.size());
+      if (!r.bytes.empty()) line_.say(std::move(r.bytes));
+      if (r.last) line_.end();
+    }
+  }
+  // Says something in its turn.
+  void say(std::string bytes, bool last = false) {
+    keep(kept_ + bytes.size());
+    Reply& r = replies_.emplace_back();
+    r.done = true, r.last = last, r.bytes = std::move(bytes);
+    settle();
+  }
+  // The last that it is told, before its connection ends.
+  void end(std::string_view code, std::string_view text) { say(pg::error(true, code, text), true); }
 
   bool takeStartup(std::string_view bytes, std::size_t& used) {
     std::int32_t code = 0;
@@ -68,19 +114,19 @@
       log::line("client_garbled", "what=startup");
       end("08P01", "the startup message can't be read");
     } else if (code == pg::kSslCode || code == pg::kGssCode) {
-      line_.say("N");
+      say("N");
     } else if (code == pg::kCancelCode) {
       line_.cut();
     } else if (code >> 16 != 3) {
       end("0A000", "only version 3 of the protocol is spoken here");
     } else {
-      line_.say(pg::greeting());
+      say(pg::greeting());
       greeted_ = true;
     }
     return true;
   }
 
-  bool takeMessage(std::string_view bytes, std::size_t& used) {
+  bool takeMessage(std::string_view bytes, const peers::Arrivals& came, std::size_t& used) {
     pg::Message m;
     pg::Framed f = pg::frame(bytes, kMostMessage, m);
     if (f == pg::Framed::partial) return false;
@@ -92,18 +138,18 @@
     used = m.whole.size();
     // Only simple queries are spoken; what follows an extended one up to its Sync is passed over.
     if (m.type == 'X') {
-      line_.cut();
+      say({}, true);
     } else if (m.type == 'Q') {
       std::optional<std::string_view> text = pg::takeString(m.payload);
       if (text && m.payload.empty())
-        query(*text);
+        query(*text, came.at(used), used);
       else
-        line_.say(pg::error(false, "08P01", "a query without its end") + pg::ready());
+        say(pg::error(false, "08P01", "a query without its end") + pg::ready());
     } else if (m.type == 'S') {
-      line_.say(pg::ready());
+      say(pg::ready());
     } else if (m.type == 'P' || m.type == 'F') {
-      line_.say(pg::error(false, "0A000", "only simple queries are spoken here") +
-                (m.type == 'F' ? pg::ready() : std::string()));
+      say(pg::error(false, "0A000", "only simple queries are spoken here") +
+          (m.type == 'F' ? pg::ready() : std::string()));
     } else if (std::string_view("BEDCHdcfp").find(m.type) == std::string_view::npos) {
       log::line("client_garbled", "what=type");
       end("08P01", "a message of an unknown type");
@@ -111,18 +157,27 @@
     return true;
   }
 
-  void query(std::string_view text) {
+  void query(std::string_view text, TimePoint came, std::size_t& used) {
     exchange::Taken taken;
     taken.speech = door_.speech;
-    if (auto reply = door_.takeIn.read(text, door_.scheduler.now(), taken))
-      line_.say(std::move(*reply));
-    else
-      stmt_ = door_.desk.admit(std::move(taken), *this, 0);
+    taken.came = came;
+    if (auto reply = door_.takeIn.read(text, door_.scheduler.now(), taken)) return say(std::move(*reply));
+    bool write = door_.takeIn.writes(taken.arrival.workload);
+    // Danger: a read that overtakes the write before it would not see it, nor a write the one before it.
+    waits_ = std::any_of(replies_.begin(), replies_.end(), [&](const Reply& r) { return write || r.write; });
+    if (waits_) return void(used = 0);
+    int ticket = first_ + static_cast<int>(replies_.size());
+    replies_.emplace_back().write = write;
+    int stmt = door_.desk.admit(std::move(taken), *this, ticket);
+    if (stmt >= 0) replies_.back().stmt = stmt;  // otherwise it has its answer already
   }
 
   Door& door_;
   peers::Line& line_;
-  int stmt_ = -1;
+  std::deque<Reply> replies_;
+  int first_ = 0;         // the ticket of the first of them
+  std::size_t kept_ = 0;  // bytes of answers that wait for their turn
+  bool waits_ = false;    // the next statement, until an answer has gone
   bool greeted_ = false;
 };
 
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -46,8 +46,11 @@
 
 inline constexpr std::size_t kMostTenant = 64;  // bytes of a tenant's name
 
-// A statement that was understood.
+// A statement that was understood. Its client's time runs from the moment in which its last byte came, however long it
+// stood behind others.
 struct Taken {
+  TimePoint came;
+  Span timeout;
   std::string id;  // empty: none was given
   Speech speech = 0;
   std::unique_ptr<Request> request;
@@ -84,6 +87,8 @@
   // The statement's index; or -1, and the asker was told that it is rejected.
   virtual int admit(Taken taken, Asker& asker, int ticket) = 0;
   virtual void left(int stmt) = 0;  // its client went away, or wants it no more
+  // Is there room for more than one statement of a client at a time?
+  virtual bool roomy() const = 0;
 };
 
 class Carrier;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -283,7 +283,7 @@
   }
   // Danger: a client that is still owed an answer may ask once more behind it; the process may be killed before that
   // has its own.
-  if (scheduler_.now() > takenUntil_) {
+  if (taken.came > takenUntil_) {
     log::line("too_late", "open=%zu", book_.openCount());
     asker.rejected(ticket, Span{});
     return -1;
@@ -295,9 +295,12 @@
     return -1;
   }
   ++taken_;
+  taken.arrival.giveUpAt = taken.came + taken.timeout;
   return admit_.admit(std::move(taken), asker, ticket, scheduler_.now());
 }
 
+bool Front::roomy() const { return book_.held() * 2 < given_.memory / kStatementPart; }
+
 void Front::left(int stmt) {
   admit_.withdraw(stmt);
   book_.touch();
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -43,6 +43,7 @@
 
   int admit(exchange::Taken taken, exchange::Asker& asker, int ticket) override;
   void left(int stmt) override;
+  bool roomy() const override;
   void listCame(const peers::Roster& roster) override;
   void listFailed() override;
 
--- a/src/front/protocols.cpp
+++ b/src/front/protocols.cpp
@@ -1,21 +1,28 @@
 #include "front/protocols.h"
 
+#include <algorithm>
+
 #include "doors/cql/carrier.h"
 #include "doors/cql/talk.h"
 #include "doors/pg/carrier.h"
 #include "doors/pg/talk.h"
+#include "stages/book.h"
 
 namespace reedchute::front {
 namespace {
 
 constexpr std::size_t kPreparedPart = 32;  // of the memory, for the texts that clients have prepared
+// Of the memory: for the statements that one client has in hand, and for answers that wait for those before them.
+constexpr std::size_t kPipelinePart = 16, kKeptPart = 16;
 
 class Postgres : public Protocol {
  public:
   Postgres(Given& given, const Ground& g)
       : given_(given),
         speech_(g.stores.add(voice_)),
-        door_(g.scheduler, g.desk, doors::pg::TakeIn(given.names, g.groups, g.openIds), speech_) {}
+        door_(g.scheduler, g.desk, doors::pg::TakeIn(given.terms, given.names, g.groups, g.openIds), speech_,
+              {std::max<std::size_t>(1, given.memory / kPipelinePart / stages::Book::costOf(0)),
+               given.memory / kKeptPart}) {}
 
   const char* name() const override { return "postgres"; }
   peers::Door& door() override { return door_; }
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -8,11 +8,13 @@
 namespace reedchute::peers {
 namespace {
 
-constexpr std::size_t kMostAhead = 16 * 1024;     // read while an answer is still owed
-constexpr std::size_t kMostDrained = 64 * 1024;   // read from a client that has had its last word
+constexpr std::size_t kMostAhead = 16 * 1024;  // read while an answer is still owed, by whomever
+constexpr std::size_t kAheadPart =
+    2;  // of the memory for clients, from which on nobody reads ahead more than that
+constexpr std::size_t kMostDrained = 64 * 1024;  // read from a client that has had its last word
 constexpr int kInARow = 16;  // messages of one client, or new clients, before others have their turn
 constexpr std::size_t kUnreadPart = 8;  // of the memory for clients, that one may leave unread
-constexpr std::size_t kTurning = 8;  // clients turned away at once; the next waits to be accepted
+constexpr std::size_t kTurning = 8;     // clients turned away at once; the next waits to be accepted
 
 }  // namespace
 
@@ -39,6 +41,7 @@
   std::string_view left() const { return std::string_view(in).substr(used); }
   void drop(std::size_t n) {
     used += n;
+    arrivals.done(n);
     if (used == in.size()) {
       in.clear(), used = 0;
       if (in.capacity() > kMostAhead) in.shrink_to_fit();
@@ -46,7 +49,13 @@
   }
   sched::Socket::Got more(std::size_t most) {
     if (used > 0) in.erase(0, used), used = 0;
-    return socket.read(in, most);
+    // Danger: what stood unread for a while, as there was no room for it, came at any moment of that.
+    std::size_t had = in.size();
+    TimePoint since = std::exchange(unseenSince, kNever);
+    if (since == kNever) since = socket.unreadSince();
+    sched::Socket::Got got = socket.read(in, most);
+    arrivals.came(in.size() - had, since == kNever ? clients.scheduler_.now() : since);
+    return got;
   }
   sched::Task<bool> flush(TimePoint until) {
     bool done = true;
@@ -69,6 +78,8 @@
   Clients& clients;
   std::string in, out, going;  // `going`: what is being written
   std::size_t used = 0;
+  Arrivals arrivals;               // of the bytes of `in` after `used`
+  TimePoint unseenSince = kNever;  // since when it may have waited to be accepted
   std::list<Session*>::iterator place, waitPlace;
   std::list<Session*>* waits = nullptr;  // the list that it stands in while it waits for its client
   TimePoint waitsSince;
@@ -97,13 +108,12 @@
   for (Session* s : sessions_) s->socket.in.set();
 }
 
-// Danger: those who connect by hundreds and say nothing would keep out whoever has something to ask. They make
-// room first, after those who have had their last word; but one that has just come may be about to speak.
+// Danger: those who connect by hundreds and say nothing would keep out whoever has something to ask. They
+// make room first, after those who have had their last word; but one that has just come may be about to
+// speak.
 bool Clients::makeRoom() {
   bool silent = !unheard_.empty() && scheduler_.now() - unheard_.front()->waitsSince >= limits_.grace;
-  std::list<Session*>& from = !dismissed_.empty()       ? dismissed_
-                              : silent || idle_.empty() ? unheard_
-                                                        : idle_;
+  std::list<Session*>& from = !dismissed_.empty() ? dismissed_ : silent || idle_.empty() ? unheard_ : idle_;
   if (from.empty()) return false;
   closeLongest(from);
   return true;
@@ -118,25 +128,31 @@
 
 sched::Task<> Clients::accept() {
   int inARow = 0;
+  TimePoint stalled = kNever;  // since when whoever comes waits in the kernel
   while (listener_->open()) {
     if (turning_ >= kTurning) {
+      stalled = scheduler_.now();
       co_await listener_->in.wait(scheduler_.now() + limits_.linger);
       continue;
     }
     // Danger: a crowd that comes at once would push out all who only wait to ask again, and each other before
-    // they could speak. Whoever comes to a full house waits in the kernel until somebody has been silent enough.
+    // they could speak. Whoever comes to a full house waits in the kernel until somebody has been silent
+    // enough.
     if (sessions_.size() >= limits_.sessions && dismissed_.empty() && !unheard_.empty())
       if (TimePoint by = unheard_.front()->waitsSince + limits_.grace; by > scheduler_.now()) {
+        stalled = scheduler_.now();
         co_await sched::sleepUntil(scheduler_, by);
         continue;
       }
     bool full = false;
+    TimePoint since = std::exchange(stalled, kNever);
     int fd = sched::acceptOn(listener_->fd(), full);
     if (fd < 0) {
       // Danger: with no descriptor left, accept fails at once for as long as anyone waits: no spinning on it.
       if (full) {
         log::line("descriptors_gone", "sessions=%zu", sessions_.size());
         makeRoom();
+        stalled = scheduler_.now();
         co_await listener_->in.wait(scheduler_.now() + limits_.linger);
       } else {
         co_await listener_->in.wait();
@@ -149,6 +165,7 @@
     bool turnAway = fullHouse && !makeRoom();
     if (turnAway) log::line("client_turned_away", "sessions=%zu", sessions_.size()), ++turning_;
     auto s = std::make_unique<Session>(*this, fd);
+    s->unseenSince = since;
     sessions_.push_back(s.get());
     s->place = std::prev(sessions_.end());
     scheduler_.spawn(serve(std::move(s), turnAway));
@@ -188,8 +205,9 @@
     co_return true;
   }
   if (got == sched::Socket::Got::ended) co_return false;
-  // Danger: a request may come in this very moment; a close over its unread bytes would reset the connection, and an
-  // answer that is still on its way would be lost with it. What comes after the end is read, and not sent on.
+  // Danger: a request may come in this very moment; a close over its unread bytes would reset the connection,
+  // and an answer that is still on its way would be lost with it. What comes after the end is read, and not
+  // sent on.
   if (idle && away_) {
     s.ending = true;
     co_return true;
@@ -198,8 +216,8 @@
   TimePoint now = scheduler_.now();
   if (idle) s.begun = kNever;
   if (!idle && s.begun == kNever) s.begun = now;
-  // Danger: clients may hold only so many connections; those that ask once and keep theirs for good would leave
-  // none for whoever wants to ask. The ones idle longest go as soon as others need their places.
+  // Danger: clients may hold only so many connections; those that ask once and keep theirs for good would
+  // leave none for whoever wants to ask. The ones idle longest go as soon as others need their places.
   bool asksAgain = idle && s.asked;
   if (asksAgain && idle_.size() >= limits_.idleMost) closeLongest(idle_);
   TimePoint until = idle ? now + limits_.idle : s.begun + limits_.silence;
@@ -222,11 +240,18 @@
   co_return true;
 }
 
+// Danger: what is not read has no moment at which it came; hundreds who each send much ahead would take all
+// memory.
+std::size_t Clients::mostAhead(const Session& s) const {
+  bool more = s.left().size() >= kMostAhead && held() < limits_.bytes / kAheadPart;
+  return more ? door_.mostMessage() : kMostAhead;
+}
+
 sched::Task<> Clients::answerOwed(Session& s) {
   while (s.talk->full() && s.out.empty()) {
-    // What a client sends ahead is read later; that it leaves shows at once. Danger: one that sends much at once and
-    // goes stands behind all that it sent.
-    if (!s.socket.open() || s.socket.peerEnded() || s.more(kMostAhead) == sched::Socket::Got::ended) {
+    // What a client sends ahead is read later; that it leaves shows at once. Danger: one that sends much at
+    // once and goes stands behind all that it sent.
+    if (!s.socket.open() || s.socket.peerEnded() || s.more(mostAhead(s)) == sched::Socket::Got::ended) {
       s.talk->left();
       s.socket.close();
       co_return;
@@ -265,7 +290,7 @@
     std::size_t used = 0;
     if (s.talk->full()) {
       co_await answerOwed(s);
-    } else if (s.talk->take(s.left(), used)) {
+    } else if (s.talk->take(s.left(), s.arrivals, used)) {
       s.begun = kNever;
       s.asked |= s.talk->owed() > 0;
       s.drop(used);
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "exchange/exchange.h"
+#include "peers/arrivals.h"
 #include "sched/socket.h"
 
 namespace reedchute::peers {
@@ -33,9 +34,9 @@
 class Talk {
  public:
   virtual ~Talk() = default;
-  // Takes one message off the beginning of `bytes`, of which `used` are then done with. False where none is whole
-  // yet. A garbled one is answered and the line ended.
-  virtual bool take(std::string_view bytes, std::size_t& used) = 0;
+  // Takes one message off the beginning of `bytes`, of which `used` are then done with: none where it is full by now.
+  // False where none is whole yet. A garbled one is answered and the line ended. `came`: when each of the bytes did.
+  virtual bool take(std::string_view bytes, const Arrivals& came, std::size_t& used) = 0;
   virtual bool greeted() const = 0;
   virtual std::size_t owed() const = 0;  // answers to statements
   virtual bool full() const = 0;         // takes no message before an answer has gone
@@ -88,6 +89,7 @@
   bool makeRoom();
   void closeLongest(std::list<Session*>& among);  // the one that has waited longest; there is one
   std::size_t held() const;  // bytes, in the buffers of all sessions
+  std::size_t mostAhead(const Session& s) const;  // bytes, read while answers are still owed
 
   sched::Scheduler& scheduler_;
   Door& door_;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -93,6 +93,7 @@
   for (int k = 0; k < n; ++k) {
     Descriptor& d = *static_cast<Descriptor*>(events[k].data.ptr);
     if (events[k].events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) d.peerEnded_ = true;
+    if (events[k].events & EPOLLIN && d.unreadSince_ == kNever) d.unreadSince_ = now_;
     if (events[k].events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) d.in.set();
     if (events[k].events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) d.out.set();
   }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -113,13 +113,19 @@
   // Has the other side ended its sending, or broken the connection? It shows here even while bytes that came before
   // stand unread.
   bool peerEnded() const { return peerEnded_; }
+  // Since when something may stand unread; kNever: nothing does, as far as is known.
+  TimePoint unreadSince() const { return unreadSince_; }
 
   Event in, out;
 
+ protected:
+  void readEmpty() { unreadSince_ = kNever; }  // all that had come was read
+
  private:
   friend class Scheduler;
   int fd_;
   bool peerEnded_ = false;
+  TimePoint unreadSince_ = kNever;
 };
 
 }  // namespace reedchute::sched
--- a/src/sched/socket.cpp
+++ b/src/sched/socket.cpp
@@ -86,12 +86,14 @@
     into.resize(had + static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
     if (n > 0) {
       some = true;
+      if (static_cast<std::size_t>(n) < step) readEmpty();
       // Danger: an end that came together with the bytes has no edge of its own; whoever waits for one hears of it
       // only where reading goes on up to it.
       if (static_cast<std::size_t>(n) < step && !peerEnded()) return Got::some;
     } else if (n < 0 && why == EINTR) {
       continue;
     } else if (n < 0 && (why == EAGAIN || why == EWOULDBLOCK)) {
+      readEmpty();
       return some ? Got::some : Got::nothing;
     } else {
       wasReset_ = n < 0;
--- /dev/null
+++ b/tests/pipeline.cpp
@@ -0,0 +1,156 @@
+// Statements that stand behind others on one connection: whose time runs from when they came, which go side
+// by side, and in which order they are answered. The front is a process of its own.
+#include <csignal>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cql_client.h"
+#include "peers/arrivals.h"
+#include "pg_client.h"
+#include "trace.h"
+
+using namespace reedchute;
+using test::Case;
+using test::Client;
+using test::CqlClient;
+using test::Drive;
+using test::ms;
+using test::runCase;
+
+namespace {
+
+// When bytes came, also where they come one by one and many of them.
+void arrivals() {
+  peers::Arrivals a;
+  auto at = [&](std::size_t count) { return static_cast<long long>(a.at(count).us / 1000); };
+  a.came(10, TimePoint{} + ms(5)), a.came(20, TimePoint{} + ms(7));
+  std::printf("bytes 1, 10, 11, 30: %lld %lld %lld %lld\n", at(1), at(10), at(11), at(30));
+  a.done(10);
+  std::printf("after 10 are done with, bytes 1, 20: %lld %lld\n", at(1), at(20));
+  a.came(5, TimePoint{} + ms(6));  // none came later than one before it
+  std::printf("never back: %lld\n", at(25));
+  a.done(25);
+  for (int k = 0; k < 100'000; ++k) a.came(1, TimePoint{} + ms(10 + k));
+  bool late = false;
+  for (std::size_t k = 1; k <= 100'000; ++k) late |= at(k) > static_cast<long long>(9 + k);
+  std::printf("100000 bytes one by one: %s, the last within a fiftieth: %s\n",
+              late ? "some too late" : "none too late", at(100'000) >= 98'000 ? "yes" : "no");
+}
+
+// The time of one that stands behind another runs all the same: it is rejected once it has its turn, and
+// never sent.
+void behindTime() {
+  Drive d(1);
+  Client c(d);
+  int before = d.sent;
+  c.send(pg::query(Client::write("slow700", 5000)) + pg::query(Client::read("b", 400)) +
+         pg::query(Client::read("c", 5000)));
+  std::string got = c.get(3);
+  std::printf("behind a write of 700 ms, for 400 ms and 5 s: %s; %d sent\n", got.c_str(), d.sent - before);
+  // In pieces: what counts is the last of them.
+  std::string late = pg::query(Client::read("d", 800));
+  before = d.sent;
+  c.send(pg::query(Client::write("slow700", 5000)) + late.substr(0, 20));
+  d.pass(400);
+  c.send(late.substr(20));
+  got = c.get(2);
+  std::printf("its last piece came 400 ms later, for 800 ms: %s; %d sent\n", got.c_str(), d.sent - before);
+}
+
+// More stands ahead than is read of it: what is read late counts from when it may have come.
+void behindMuch() {
+  Drive d(1);
+  Client c(d);
+  std::string many = pg::query(Client::write("slow900", 5000));
+  for (int k = 0; k < 40; ++k) many += pg::query(Client::read(std::string(16'000, 'a'), 400));
+  int before = d.sent;
+  c.send(many);
+  std::string got = c.get(41);
+  int rejected = 0;
+  for (std::size_t k = 0; (k = got.find("53300", k)) != std::string::npos; ++k) ++rejected;
+  std::printf("640 KB behind a write of 900 ms, each for 400 ms: %d rejected, %d sent\n", rejected,
+              d.sent - before);
+}
+
+// Reads go side by side and are answered in their order; a write waits, and what is behind it.
+void sideBySide() {
+  Drive d(2);
+  Client c(d);
+  int before = d.sent;
+  c.send(pg::query(Client::read("slow300")) + pg::query(Client::read("b")) + pg::query("") +
+         pg::query(Client::read("c")));
+  d.until("all are sent", [&] { return d.sent >= before + 3; });
+  std::printf("before the first is answered: %zu bytes came\n", c.in.size());
+  std::printf("then: %s\n", c.get(4).c_str());
+  before = d.sent;
+  c.send(pg::query(Client::read("slow300")) + pg::query(Client::write("e")) + pg::query(Client::read("f")));
+  d.until("the read is sent", [&] { return d.sent > before; });
+  d.pass(100);
+  std::printf("a write behind a slow read: %d sent so far\n", d.sent - before);
+  std::printf("then: %s\n", c.get(3).c_str());
+  before = d.sent;
+  c.send(pg::query(Client::write("slow300")) + pg::query(Client::read("h")));
+  d.until("the write is sent", [&] { return d.sent > before; });
+  d.pass(100);
+  std::printf("a read behind a slow write: %d sent so far\n", d.sent - before);
+  std::printf("then: %s\n", c.get(2).c_str());
+  // What ends the connection waits for its turn.
+  c.send(pg::query(Client::read("slow100")) + pg::query(Client::read("j")) + pg::message('X', ""));
+  std::printf("and Terminate: %s\n", c.get(3).c_str());
+  Client g(d);
+  g.send(pg::query(Client::read("slow100")) + std::string("Q\0\0\0\1", 5));
+  std::printf("and what can't be read: %s\n", g.get(3).c_str());
+  Client left(d);
+  before = d.sent;
+  for (int k = 0; k < 3; ++k) left.send(pg::query(Client::read("silent")));
+  d.until("all are sent", [&] { return d.sent >= before + 3; });
+  left.socket->close();
+  d.until("they are withdrawn", [&] { return d.logged("open=0 sessions=0"); });
+  std::printf("one that left with three out: withdrawn\n");
+}
+
+// Many clients send much ahead of what they are owed: memory holds, and others are served.
+void aheadBounded() {
+  Drive d(2, 256, "automatic", "", false, 32);
+  std::vector<std::unique_ptr<Client>> all;
+  for (int k = 0; k < 60; ++k) {
+    std::string much = pg::query(Client::write("silent", 20'000));
+    for (int n = 0; n < 8; ++n) much += pg::query(Client::read(std::string(30'000, 'x'), 20'000));
+    all.push_back(std::make_unique<Client>(d));
+    all.back()->socket->write(much);
+  }
+  Client other(d);
+  other.asks("another one's", Client::read("a"));
+  std::printf("memory: %s\n", d.peakKb() < 32 * 1024 ? "under 32 MB" : std::to_string(d.peakKb()).c_str());
+}
+
+// At the other door too: a request that waits for a free stream.
+void streamsFull() {
+  std::string door = test::kDoor;
+  door.replace(door.find("2000"), 4, "1");
+  Drive d(1, 256, "automatic", "", false, 64, "15000000", door);
+  CqlClient c(d);
+  int before = d.sent;
+  c.query(test::selectOf("slow700"), {.waitMs = 5000}, 1);
+  c.query(test::selectOf("b"), {.waitMs = 400}, 2);
+  c.query(test::selectOf("c"), {.waitMs = 5000}, 3);
+  std::string first = c.answer(1), second = c.answer(2), third = c.answer(3);
+  std::printf("one stream, 700 ms; behind it for 400 ms and 5 s: %s, %s, %s; %d sent\n", first.c_str(),
+              second.c_str(), third.c_str(), d.sent - before);
+}
+
+constexpr Case kCases[] = {{"arrivals", arrivals},         {"behindTime", behindTime},
+                           {"behindMuch", behindMuch},     {"sideBySide", sideBySide},
+                           {"aheadBounded", aheadBounded}, {"streamsFull", streamsFull}};
+
+}  // namespace
+
+// pipeline PROGRAM CASE
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  if (argc > 1) test::program = argv[1];
+  return runCase(kCases, argc - 1, argv + 1);
+}
