--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -114,7 +114,7 @@
   firstLimit_ = std::min(kFirstLimit, kTogether / terms_.fronts);
   memory_ = std::max(terms_.coldRamp * kMemory, smallestSlo_);
   terms_.askEvery = std::max(terms_.askEvery, smallestSlo_);
-  // Danger: calls may fail one after the other; what changes meanwhile counts as told at its time all the same.
+  // Danger: calls may fail one after the other; what changes meanwhile counts as told at its time anyway.
   Span most = terms_.toldAnyway > Span{} ? terms_.toldAnyway * kAskAnyway : kForever - kNever;
   askLast_ = std::min(terms_.askEvery * kAskLast, most);
   askBackoff_ = askFirst_ = std::min(terms_.askEvery * kAskFirst, most);
@@ -375,9 +375,10 @@
   }
 }
 
-// Danger: a primary that died comes back as a replica whose position stands where it was last seen as primary; its
-// reports would pass for older than that. Until it has answered as primary since its start it gets writes, as one that
-// a report alone names, but no read that must be current; and any report tells what it is.
+// Danger: a primary that died comes back as a replica whose position stands where it was last seen as
+// primary; its reports would pass for older than that. Until it has answered as primary since its start it
+// gets writes, as one that a report alone names, but no read that must be current; and any report tells what
+// it is.
 void Rules::startedAnew(int s) {
   GroupState& g = groups_[stores_.group[s]];
   stores_.primaryAt[s] = kNever;
@@ -832,7 +833,7 @@
   const Workload& w = terms_.workloads[st.workload];
   bool paced = stores_.limit[s] >= 1 || stores_.freeAt[s] > now;
   TimePoint leaveBy = st.giveUpAt;
-  // Danger: a connection takes its time to come up; a repeat that leaves after the window takes effect once more.
+  // Danger: a connection takes its time to come up; a repeat that leaves after the window takes effect again.
   for (const Execution& e : st.executions)
     if (e.mayHaveRun && w.effect == Effect::deduplicated)
       leaveBy = std::min(leaveBy, e.sent + w.window - terms_.tick);
--- a/src/rules.h
+++ b/src/rules.h
@@ -59,7 +59,7 @@
   Span maxComeBack;
   Span connectTimeout;
   Span askEvery;
-  Span toldAnyway;  // what the list's service has counts as told by then, whatever became of calls; none: never
+  Span toldAnyway;  // what the list's service has counts as told by then, whatever calls came to; none: never
   Span drainGrace;  // that sends to a store may go on after it was told to drain
   Span coldRamp;
   Span coldWindow;
@@ -233,8 +233,8 @@
   void listBegins(bool whole);
   void entry(const Entry& e, TimePoint now);
   void listEnds(bool asked);
-  // A store that is gone has left every place outside: nothing is out to it, no open statement was sent to it, and
-  // its index may be another's from now on.
+  // A store that is gone has left every place outside: nothing is out to it, no open statement was sent to
+  // it, and its index may be another's from now on.
   void left(int store, TimePoint now);
   void listFailed(TimePoint now);
   void arrived(int stmt, const Arrival& a, TimePoint now);
