--- a/src/membership/circle.h
+++ b/src/membership/gossip.h
@@ -14,14 +14,14 @@
 
 namespace reedchute::membership {
 
-class Circle {
+class Gossip {
  public:
-  struct Tally {
+  struct Counters {
     std::uint64_t packetsIn = 0, packetsOut = 0, bytesIn = 0, bytesOut = 0, unsendable = 0;
     std::array<std::uint64_t, 5> bad{};  // by Bad
   };
 
-  Circle(Self self, Rhythm rhythm, Notes::Bounds bounds, Keys keys, TimePoint now);
+  Gossip(Self self, Parameters parameters, Notes::Bounds bounds, Keys keys, TimePoint now);
 
   void datagram(std::string_view bytes, Address from, TimePoint now);
   void tick(TimePoint now) { members_.tick(now); }
@@ -34,13 +34,13 @@
   const Members& members() const { return members_; }
   Notes& notes() { return notes_; }
   const Keys& keys() const { return keys_; }
-  const Tally& tally() const { return tally_; }
+  const Counters& counters() const { return counters_; }
 
  private:
   Members members_;
   Notes notes_;
   Keys keys_;
-  Tally tally_;
+  Counters counters_;
 };
 
 }  // namespace reedchute::membership
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -20,7 +20,7 @@
 constexpr double kSeedEvery = 20;      // between two words to a seed
 // Others.
 constexpr int kIllMost = 8, kIll = 3;  // own health: the worst, and from where on it doubts itself
-constexpr int kRaises = 3;             // of its life above another's, before it yields its name
+constexpr int kRaises = 3;             // of its generation above another's, before it yields its name
 constexpr std::size_t kRumorsKept = 256, kProbesKept = 256, kRelayedKept = 256, kAccusersKept = 8;
 constexpr int kCopies = 4;             // of a rumor, times the logarithm of the members
 constexpr std::size_t kPageBytes = 900, kRumorBytes = 32;
@@ -37,16 +37,16 @@
   }
 }
 
-Members::Members(Self self, Rhythm rhythm, TimePoint now)
-    : rhythm_(rhythm), chance_(static_cast<std::uint32_t>(self.seed ^ (self.seed >> 32))) {
-  self_.is = {self.name, self.zone, self.at, self.life, 0, State::alive};
+Members::Members(Self self, Parameters parameters, TimePoint now)
+    : parameters_(parameters), chance_(static_cast<std::uint32_t>(self.seed ^ (self.seed >> 32))) {
+  self_.is = {self.name, self.zone, self.at, self.generation, 0, State::alive};
   self_.seeds = std::move(self.seeds);
   std::erase(self_.seeds, self.at);
   self_.fleet = std::move(self.fleet);
   nonce_ = self.seed | 1;
   tickedAt_ = now;
   // Danger: fronts that start together would all ping in the same instant, for as long as they run.
-  probeAt_ = now + rhythm_.period * (static_cast<double>(chance_() % 1000) / 1000);
+  probeAt_ = now + parameters_.period * (static_cast<double>(chance_() % 1000) / 1000);
   pageAt_ = seedAt_ = now;
 }
 
@@ -57,7 +57,7 @@
 
 bool Members::doubtsItself(TimePoint now) const { return usurped_ || ill_ >= kIll || now < doubtsUntil_; }
 
-Span Members::scaled() const { return rhythm_.period * (1 + ill_ * 0.25); }
+Span Members::scaled() const { return parameters_.period * (1 + ill_ * 0.25); }
 
 int Members::copies() const { return kCopies * static_cast<int>(std::ceil(std::log10(static_cast<double>(live()) + 1))); }
 
@@ -77,7 +77,7 @@
   // Those told of the least go first; each is told so many times, by the number of members.
   std::stable_sort(rumors_.begin(), rumors_.end(), [](const Spread& a, const Spread& b) { return a.times < b.times; });
   for (Spread& s : rumors_) {
-    if (p.rumors.size() >= rhythm_.rumors) break;
+    if (p.rumors.size() >= parameters_.rumors) break;
     p.rumors.push_back(s.rumor), ++s.times;
   }
   std::erase_if(rumors_, [&](const Spread& s) { return s.times >= copies(); });
@@ -113,20 +113,20 @@
   if (!p.to.empty() && p.to != self_.is.name) return ++dropped_.misdirected, false;
   if (p.from.name == self_.is.name) {
     ++dropped_.ownName;
-    if (p.from.life != self_.is.life) hearOfSelf(p.from, now);
+    if (p.from.generation != self_.is.generation) hearOfSelf(p.from, now);
     return false;
   }
   auto it = members_.find(p.from.name);
-  if (it != members_.end() && p.from.life < it->second.is.life) {
-    // If it is no recorded one, its sender must hear that its name has a later life.
+  if (it != members_.end() && p.from.generation < it->second.is.generation) {
+    // If it is no recorded one, its sender must hear that its name has a later generation.
     Packet told = packet(Packet::Kind::ack, p.from.name);
     told.rumors.insert(told.rumors.begin(), it->second.is);
     send(p.from.at.port ? p.from.at : from, std::move(told));
-    return ++dropped_.oldLife, false;
+    return ++dropped_.oldGeneration, false;
   }
-  bool isNew = it == members_.end() || p.from.life > it->second.is.life;
+  bool isNew = it == members_.end() || p.from.generation > it->second.is.generation;
   if (it == members_.end()) {
-    if (members_.size() >= rhythm_.most) return ++dropped_.full, false;
+    if (members_.size() >= parameters_.most) return ++dropped_.full, false;
     it = members_.try_emplace(p.from.name).first;
   }
   Member& m = it->second;
@@ -177,7 +177,7 @@
     }
     case Packet::Kind::relay: {
       if (relayed_.size() >= kRelayedKept) break;
-      relayed_.push_back({++nonce_, p.nonce, p.from.name, now + rhythm_.period});
+      relayed_.push_back({++nonce_, p.nonce, p.from.name, now + parameters_.period});
       Packet ping = packet(Packet::Kind::ping, p.target);
       ping.nonce = nonce_;
       const Member* known = find(p.target);
@@ -203,7 +203,7 @@
   // Danger: what would not fit would be cut off the end, and the cursor would have passed it.
   std::size_t bytes = 0;
   auto it = p.cursor.empty() ? members_.begin() : members_.upper_bound(p.cursor);
-  for (; it != members_.end() && page.rumors.size() < rhythm_.page && bytes < kPageBytes; ++it) {
+  for (; it != members_.end() && page.rumors.size() < parameters_.page && bytes < kPageBytes; ++it) {
     last = it->first;
     if (!it->second.proven || it->first == p.from.name) continue;
     page.rumors.push_back(it->second.is);
@@ -234,14 +234,14 @@
   m.accusers.clear();
   if (accused) m.accusers.push_back(by), m.until = now + suspicion(1);
   if (isFresh && !m.proven && by != r.name) return prove(m, by);
-  if (told && m.proven) changes_.push_back({r.name, by, r.state, r.life, isFresh});
+  if (told && m.proven) changes_.push_back({r.name, by, r.state, r.generation, isFresh});
   recount();
   if (m.proven) spread(r);
 }
 
 void Members::prove(Member& m, const std::string& by) {
   m.proven = true;
-  changes_.push_back({m.is.name, by, m.is.state, m.is.life, true});
+  changes_.push_back({m.is.name, by, m.is.state, m.is.generation, true});
   recount(), spread(m.is);
 }
 
@@ -252,7 +252,7 @@
   if (it == members_.end()) {
     // Of one that was never heard of, only that it lives is news.
     if (gone) return;
-    if (members_.size() >= rhythm_.most) {
+    if (members_.size() >= parameters_.most) {
       ++dropped_.full;
       return;
     }
@@ -261,8 +261,8 @@
     return;
   }
   Member& m = it->second;
-  if (r.life < m.is.life) return;
-  if (r.life > m.is.life) {
+  if (r.generation < m.is.generation) return;
+  if (r.generation > m.is.generation) {
     m.number = 0, m.seen = 0;
     become(m, r, by, true, now);
     return;
@@ -271,10 +271,14 @@
   bool over = m.is.state == State::left || m.is.state == State::dead;
   bool counts = false;
   switch (r.state) {
-    case State::alive: counts = r.word > m.is.word; break;
+    case State::alive:
+      counts = r.incarnation > m.is.incarnation;
+      break;
     case State::suspect:
-      counts = !over && (r.word > m.is.word || (r.word == m.is.word && m.is.state == State::alive));
-      if (!counts && r.word == m.is.word && m.is.state == State::suspect && m.accusers.size() < kAccusersKept &&
+      counts = !over && (r.incarnation > m.is.incarnation ||
+                         (r.incarnation == m.is.incarnation && m.is.state == State::alive));
+      if (!counts && r.incarnation == m.is.incarnation && m.is.state == State::suspect &&
+          m.accusers.size() < kAccusersKept &&
           std::find(m.accusers.begin(), m.accusers.end(), by) == m.accusers.end()) {
         m.accusers.push_back(by);
         m.until = std::min(m.until, m.since + suspicion(m.accusers.size()));
@@ -282,7 +286,7 @@
       }
       break;
     default:
-      counts = !over && r.word >= m.is.word;
+      counts = !over && r.incarnation >= m.is.incarnation;
       // Danger: where many datagrams are lost some give up one that others hear. Who hears it says so, and tells it.
       if (counts && r.state == State::dead && now - m.heard < suspicion(static_cast<std::size_t>(kAccusers))) {
         Packet told = packet(Packet::Kind::ping, r.name);
@@ -302,27 +306,27 @@
 // Danger: a front that was only paused hears of itself that it is gone. It contradicts, and takes it as a sign that
 // it is slow. One whose name another process has taken must not speak beside it.
 void Members::hearOfSelf(const Rumor& r, TimePoint now) {
-  if (leaving_ || r.life < self_.is.life) return;
-  if (r.life > self_.is.life) {
+  if (leaving_ || r.generation < self_.is.generation) return;
+  if (r.generation > self_.is.generation) {
     if (++raised_ > kRaises) {
       usurped_ = true;
       return;
     }
-    self_.is.life = r.life + 1, self_.is.word = 0, number_ = 0;
+    self_.is.generation = r.generation + 1, self_.is.incarnation = 0, number_ = 0;
     spread(self_.is);
     return;
   }
-  if (r.state == State::alive || r.word < self_.is.word) return;
-  self_.is.word = r.word + 1;
+  if (r.state == State::alive || r.incarnation < self_.is.incarnation) return;
+  self_.is.incarnation = r.incarnation + 1;
   ill_ = std::min(kIllMost, ill_ + 1);
-  doubtsUntil_ = std::max(doubtsUntil_, now + rhythm_.period);
+  doubtsUntil_ = std::max(doubtsUntil_, now + parameters_.period);
   spread(self_.is);
 }
 
 Span Members::suspicion(std::size_t accusers) const {
   double least = kSuspicion * std::max(1.0, std::log10(static_cast<double>(live()) + 1));
   double part = std::min(1.0, std::log(static_cast<double>(accusers)) / std::log(kAccusers));
-  return rhythm_.period * (least * (kAlone - (kAlone - 1) * part));
+  return parameters_.period * (least * (kAlone - (kAlone - 1) * part));
 }
 
 void Members::suspect(const std::string& name, TimePoint now) {
@@ -399,20 +403,21 @@
 void Members::askPage(TimePoint now) {
   const Member* m = draw("");
   if (!m && self_.seeds.empty()) {
-    pageAt_ = now + rhythm_.period * kPageLater;
+    pageAt_ = now + parameters_.period * kPageLater;
     return;
   }
   Packet p = packet(Packet::Kind::page, m ? m->is.name : "");
   p.cursor = cursor_;
   send(m ? m->is.at : self_.seeds[chance_() % self_.seeds.size()], std::move(p));
-  pageAt_ = now + rhythm_.period * ((pagesDone_ ? kPageLater : kPageSoon) + static_cast<double>(chance_() % 100) / 200);
+  pageAt_ = now + parameters_.period *
+                      ((pagesDone_ ? kPageLater : kPageSoon) + static_cast<double>(chance_() % 100) / 200);
 }
 
 void Members::forgetOld(TimePoint now) {
   std::erase_if(members_, [&](const auto& entry) {
     const Member& m = entry.second;
     bool gone = m.is.state == State::left || m.is.state == State::dead;
-    return gone && now - m.since > rhythm_.period * kForget;
+    return gone && now - m.since > parameters_.period * kForget;
   });
 }
 
@@ -421,11 +426,11 @@
   // Danger: a front that was paused finds all its pings unanswered and all suspects overdue, and would give up the
   // whole fleet. What ran out while it stood still counts for nothing.
   Span passed = now - std::exchange(tickedAt_, now);
-  if (passed > rhythm_.period * kLate) {
+  if (passed > parameters_.period * kLate) {
     probes_.clear(), relayed_.clear();
     for (auto& [name, m] : members_)
       if (m.until < kForever) m.until = m.until + passed;
-    doubtsUntil_ = now + rhythm_.period * kDoubts;
+    doubtsUntil_ = now + parameters_.period * kDoubts;
     ill_ = std::min(kIllMost, ill_ + 1);
   }
   std::vector<std::string> failed;
@@ -434,7 +439,7 @@
     if (!p.asked && now >= p.askOthersAt) {
       p.asked = true;
       const Member* of = find(p.of);
-      for (int k = 0; of && k < rhythm_.relays; ++k) {
+      for (int k = 0; of && k < parameters_.relays; ++k) {
         const Member* by = draw(p.of);
         if (!by) break;
         Packet relay = packet(Packet::Kind::relay, by->is.name);
@@ -462,14 +467,14 @@
   }
   if (now >= probeAt_) probeAt_ = now + scaled(), probeNext(now);
   if (now >= pageAt_) askPage(now);
-  if (now >= seedAt_) seedAt_ = now + rhythm_.period * kSeedEvery, probeSeed(), forgetOld(now);
+  if (now >= seedAt_) seedAt_ = now + parameters_.period * kSeedEvery, probeSeed(), forgetOld(now);
 }
 
 void Members::leave(TimePoint) {
   if (usurped_ || leaving_) return;
   leaving_ = true;
   self_.is.state = State::left;
-  for (int k = 0; k < rhythm_.relays + 2; ++k) {
+  for (int k = 0; k < parameters_.relays + 2; ++k) {
     const Member* m = draw("");
     if (!m) return;
     sendTo(*m, packet(Packet::Kind::ping, m->is.name));
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -20,7 +20,7 @@
 namespace reedchute::membership {
 
 // Times are multiples of the period.
-struct Rhythm {
+struct Parameters {
   Span period{300'000};
   int relays = 3;            // that are asked to ping one that didn't answer
   std::size_t most = 4096;   // members; what comes beyond is dropped and counted
@@ -31,7 +31,7 @@
 struct Self {
   std::string fleet, name, zone;
   Address at;
-  std::uint64_t life = 0;
+  std::uint64_t generation = 0;
   std::vector<Address> seeds;  // asked at the start, and now and then for as long as the front runs
   std::uint64_t seed = 0;
 };
@@ -52,18 +52,18 @@
 struct Change {
   std::string name, by;
   State state = State::alive;
-  std::uint64_t life = 0;
-  bool fresh = false;  // the first that is heard of this life
+  std::uint64_t generation = 0;
+  bool fresh = false;  // the first that is heard of this generation
 };
 
 class Members {
  public:
   // What was dropped, by cause.
   struct Dropped {
-    std::uint64_t otherFleet = 0, oldLife = 0, replayed = 0, misdirected = 0, ownName = 0, full = 0;
+    std::uint64_t otherFleet = 0, oldGeneration = 0, replayed = 0, misdirected = 0, ownName = 0, full = 0;
   };
 
-  Members(Self self, Rhythm rhythm, TimePoint now);
+  Members(Self self, Parameters parameters, TimePoint now);
 
   // Facts. `from`: where the packet came from, which counts where it names no address itself. False where it was dropped.
   bool received(const Packet& p, Address from, TimePoint now);
@@ -132,7 +132,7 @@
   const Member* draw(const std::string& except);
 
   Own self_;
-  Rhythm rhythm_;
+  Parameters parameters_;
   std::ranlux24_base chance_;
   std::map<std::string, Member> members_;  // by name: what is done never depends on hash order
   std::size_t live_ = 0;
--- a/src/membership/notes.cpp
+++ b/src/membership/notes.cpp
@@ -11,17 +11,17 @@
 
 void Notes::say(int topic, std::string bytes, TimePoint now) {
   Held& own = own_[topic];
-  own.life = life_, ++own.number, own.written = now, own.bytes = std::move(bytes);
+  own.generation = generation_, ++own.number, own.written = now, own.bytes = std::move(bytes);
 }
 
 void Notes::fade(std::map<std::string, Held>& held, TimePoint now) const {
-  std::erase_if(held, [&](const auto& e) { return now - e.second.written > bounds_.life; });
+  std::erase_if(held, [&](const auto& e) { return now - e.second.written > bounds_.maxAge; });
 }
 
 void Notes::fill(std::vector<Note>& into, TimePoint now) {
   for (const auto& [topic, own] : own_)
-    if (now - own.written <= bounds_.life)
-      into.push_back({origin_, life_, own.number, topic, now - own.written, own.bytes});
+    if (now - own.written <= bounds_.maxAge)
+      into.push_back({origin_, generation_, own.number, topic, now - own.written, own.bytes});
   std::vector<std::pair<int, const std::pair<const std::string, Held>*>> others;
   for (auto& [topic, held] : held_) {
     fade(held, now);
@@ -30,7 +30,7 @@
   for (std::size_t k = 0; k < bounds_.sent && !others.empty(); ++k) {
     std::size_t at = chance_() % others.size();
     const auto& [name, h] = *others[at].second;
-    into.push_back({name, h.life, h.number, others[at].first, now - h.written, h.bytes});
+    into.push_back({name, h.generation, h.number, others[at].first, now - h.written, h.bytes});
     others[at] = others.back();
     others.pop_back();
   }
@@ -42,13 +42,13 @@
   if (n.origin == origin_ || n.origin.empty()) return false;
   // Danger: a note that is passed on and on must age on its way, or it would be news for ever.
   TimePoint written = now - n.age - passage;
-  if (now - written > bounds_.life) return false;
+  if (now - written > bounds_.maxAge) return false;
   auto& held = held_[n.topic];
   auto it = held.find(n.origin);
   if (it != held.end()) {
     Held& h = it->second;
-    if (n.life < h.life || (n.life == h.life && n.number <= h.number)) return false;
-    h = {n.life, n.number, written, n.bytes};
+    if (n.generation < h.generation || (n.generation == h.generation && n.number <= h.number)) return false;
+    h = {n.generation, n.number, written, n.bytes};
     return true;
   }
   if (held.size() >= bounds_.kept) {
@@ -56,7 +56,7 @@
     // Of too many, one drawn by chance gives way: the oldest would always be those who stand far off.
     if (held.size() >= bounds_.kept) held.erase(std::next(held.begin(), static_cast<std::ptrdiff_t>(chance_() % held.size())));
   }
-  held.emplace(n.origin, Held{n.life, n.number, written, n.bytes});
+  held.emplace(n.origin, Held{n.generation, n.number, written, n.bytes});
   return true;
 }
 
--- a/src/membership/notes.h
+++ b/src/membership/notes.h
@@ -21,19 +21,22 @@
     std::size_t kept = 64;   // of a topic, by distinct origins
     std::size_t sent = 6;    // of others, in one packet
     std::size_t bytes = 96;  // of one note; a longer one is dropped
-    Span life{2'000'000};    // older ones are no news any more
+    Span maxAge{2'000'000};  // older ones are no news any more
   };
   struct Held {
-    std::uint64_t life = 0;
+    std::uint64_t generation = 0;
     std::uint32_t number = 0;
     TimePoint written = kNever;  // by our clock, with the age that it came with
     std::string bytes;
   };
 
-  Notes(std::string origin, std::uint64_t life, Bounds bounds, std::uint64_t seed)
-      : origin_(std::move(origin)), life_(life), bounds_(bounds), chance_(static_cast<std::uint32_t>(seed)) {}
+  Notes(std::string origin, std::uint64_t generation, Bounds bounds, std::uint64_t seed)
+      : origin_(std::move(origin)),
+        generation_(generation),
+        bounds_(bounds),
+        chance_(static_cast<std::uint32_t>(seed)) {}
 
-  void renamed(std::uint64_t life) { life_ = life; }
+  void renamed(std::uint64_t generation) { generation_ = generation; }
   // Our own on a topic from now on.
   void say(int topic, std::string bytes, TimePoint now);
   // Adds to a packet what it is to carry: all of our own, and some of others.
@@ -48,7 +51,7 @@
   void fade(std::map<std::string, Held>& held, TimePoint now) const;
 
   std::string origin_;
-  std::uint64_t life_;
+  std::uint64_t generation_;
   Bounds bounds_;
   std::ranlux24_base chance_;
   std::map<int, Held> own_;
--- a/src/membership/packet.h
+++ b/src/membership/packet.h
@@ -20,19 +20,20 @@
 enum class State { alive, suspect, left, dead };
 const char* nameOf(State s);
 
-// A front under its name. `life` is another one after each start; `word` rises whenever it contradicts others.
+// A front under its name. `generation` is a higher one after each start; `incarnation` rises whenever it
+// refutes a suspicion.
 struct Rumor {
   std::string name, zone;
   Address at;
-  std::uint64_t life = 0;
-  std::uint32_t word = 0;
+  std::uint64_t generation = 0;
+  std::uint32_t incarnation = 0;
   State state = State::alive;
 };
 
 // What a front tells all others by way of some: the newest of each origin and topic counts.
 struct Note {
   std::string origin;
-  std::uint64_t life = 0;
+  std::uint64_t generation = 0;
   std::uint32_t number = 0;  // rises with each
   int topic = 0;
   Span age;  // since the origin wrote it, as far as those on its way could tell: never less than it is by their clocks
@@ -45,7 +46,7 @@
 
   std::string fleet, to;  // `to`: empty where the sender knows an address and no name
   Rumor from;             // the sender's word on itself
-  std::uint64_t number = 0;  // of all packets of this life
+  std::uint64_t number = 0;  // of all packets of this generation
   Kind kind = Kind::ping;
   std::uint64_t nonce = 0;
   std::string target;  // of a relay
--- a/src/membership/carrier.cpp
+++ b/src/membership/transport.cpp
@@ -1,4 +1,4 @@
-#include "membership/carrier.h"
+#include "membership/transport.h"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -33,17 +33,18 @@
   return to;
 }
 
-Carrier::Carrier(sched::Scheduler& s, Circle& circle, const sockaddr_in& listen)
-    : scheduler_(s), circle_(circle), socket_(s, datagramsOn(listen)), due_(s) {}
+Transport::Transport(sched::Scheduler& s, Gossip& gossip, const sockaddr_in& listen)
+    : scheduler_(s), gossip_(gossip), socket_(s, datagramsOn(listen)), due_(s) {}
 
-sched::Task<> Carrier::read() {
+sched::Task<> Transport::read() {
   std::array<char, kMostBytes + 1> bytes;
   for (;;) {
     int taken = 0;
     for (; taken < kAtOnce; ++taken) {
       sockaddr_in from{};
       socklen_t size = sizeof from;
-      ssize_t n = recvfrom(socket_.fd(), bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr*>(&from), &size);
+      ssize_t n = recvfrom(socket_.fd(), bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr*>(&from),
+                           &size);
       if (n < 0 && errno == EINTR) continue;
       // An error is another one's datagram that came back; the next read goes on.
       if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
@@ -52,9 +53,10 @@
       if (other_ && got.size() > 1 && static_cast<std::uint8_t>(got[1]) == otherKind_) {
         std::string answer = other_(got, addressOf(from));
         if (!answer.empty())
-          unsent_ += sendto(socket_.fd(), answer.data(), answer.size(), 0, reinterpret_cast<sockaddr*>(&from), size) < 0;
+          unsent_ += sendto(socket_.fd(), answer.data(), answer.size(), 0, reinterpret_cast<sockaddr*>(&from),
+                            size) < 0;
       } else {
-        circle_.datagram(got, addressOf(from), scheduler_.now());
+        gossip_.datagram(got, addressOf(from), scheduler_.now());
       }
     }
     flush();
@@ -66,20 +68,20 @@
   }
 }
 
-sched::Task<> Carrier::tick() {
+sched::Task<> Transport::tick() {
   for (;;) {
-    circle_.tick(scheduler_.now());
+    gossip_.tick(scheduler_.now());
     flush();
-    co_await due_.wait(circle_.dueAt());
+    co_await due_.wait(gossip_.dueAt());
   }
 }
 
 // Danger: a datagram that the kernel doesn't take now is lost like one on its way; the protocol bears that.
-void Carrier::flush() {
-  for (const auto& [to, bytes] : circle_.takeDatagrams(scheduler_.now())) {
+void Transport::flush() {
+  for (const auto& [to, bytes] : gossip_.takeDatagrams(scheduler_.now())) {
     sockaddr_in address = socketAddress(to);
-    unsent_ += sendto(socket_.fd(), bytes.data(), bytes.size(), MSG_DONTWAIT, reinterpret_cast<sockaddr*>(&address),
-                      sizeof address) < 0;
+    unsent_ += sendto(socket_.fd(), bytes.data(), bytes.size(), MSG_DONTWAIT,
+                      reinterpret_cast<sockaddr*>(&address), sizeof address) < 0;
   }
 }
 
--- a/src/membership/carrier.h
+++ b/src/membership/transport.h
@@ -1,4 +1,4 @@
-// One UDP socket for the circle: what came is told to it, what it answers is sent.
+// The gossip's UDP socket: what came is told to it, what it answers is sent.
 #pragma once
 
 #include <netinet/in.h>
@@ -7,32 +7,32 @@
 #include <string>
 #include <string_view>
 
-#include "membership/circle.h"
+#include "membership/gossip.h"
 #include "sched/scheduler.h"
 #include "sched/socket.h"
 
 namespace reedchute::membership {
 
-class Carrier {
+class Transport {
  public:
   // Datagrams of another kind than packets, which go to whoever takes them; what is answered goes back.
   using Other = std::function<std::string(std::string_view bytes, Address from)>;
 
   // Throws std::runtime_error where the address can't be had.
-  Carrier(sched::Scheduler& s, Circle& circle, const sockaddr_in& listen);
+  Transport(sched::Scheduler& s, Gossip& gossip, const sockaddr_in& listen);
 
   void others(std::uint8_t kind, Other other) { otherKind_ = kind, other_ = std::move(other); }
   // Runs as long as the front does.
   sched::Task<> read();
   sched::Task<> tick();
-  // Sends what the circle has ready.
+  // Sends what the gossip has ready.
   void flush();
   int port() const { return sched::portOf(socket_.fd()); }
   std::uint64_t unsent() const { return unsent_; }
 
  private:
   sched::Scheduler& scheduler_;
-  Circle& circle_;
+  Gossip& gossip_;
   sched::Descriptor socket_;
   sched::Event due_;
   std::uint8_t otherKind_ = 0;
--- a/src/membership/wire.cpp
+++ b/src/membership/wire.cpp
@@ -26,14 +26,15 @@
 
 void put(const Rumor& r, wire::Rumor& to) {
   to.set_name(r.name), to.set_zone(r.zone), to.set_ip(r.at.ip), to.set_port(r.at.port);
-  to.set_life(r.life), to.set_word(r.word), to.set_state(static_cast<std::uint32_t>(r.state));
+  to.set_generation(r.generation), to.set_incarnation(r.incarnation),
+      to.set_state(static_cast<std::uint32_t>(r.state));
 }
 
 bool get(const wire::Rumor& from, Rumor& to) {
   if (from.name().empty() || from.name().size() > kMostNameBytes || from.zone().size() > kMostNameBytes) return false;
   if (from.port() > 65535 || from.state() > 3) return false;
-  to = {from.name(), from.zone(), {from.ip(), static_cast<std::uint16_t>(from.port())}, from.life(), from.word(),
-        static_cast<State>(from.state())};
+  to = {from.name(),       from.zone(),        {from.ip(), static_cast<std::uint16_t>(from.port())},
+        from.generation(), from.incarnation(), static_cast<State>(from.state())};
   return true;
 }
 
@@ -82,7 +83,7 @@
     for (const Rumor& r : p.rumors) put(r, *w.add_rumors());
     for (const Note& n : p.notes) {
       wire::Note& to = *w.add_notes();
-      to.set_origin(n.origin), to.set_life(n.life), to.set_number(n.number);
+      to.set_origin(n.origin), to.set_generation(n.generation), to.set_number(n.number);
       to.set_topic(static_cast<std::uint32_t>(n.topic)), to.set_text(n.bytes);
       // Danger: an age rounded down at each of many hands would keep a note young.
       to.set_age_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>((n.age.us + 999) / 1000, 0, INT32_MAX)));
@@ -120,8 +121,9 @@
   }
   for (const wire::Note& from : w.notes()) {
     if (from.origin().empty() || from.origin().size() > kMostNameBytes) return std::nullopt;
-    p.notes.push_back({from.origin(), from.life(), from.number(), static_cast<int>(from.topic() & 0xffff),
-                       Span{std::int64_t{from.age_ms()} * 1000}, from.text()});
+    p.notes.push_back({from.origin(), from.generation(), from.number(),
+                       static_cast<int>(from.topic() & 0xffff), Span{std::int64_t{from.age_ms()} * 1000},
+                       from.text()});
   }
   why = Bad::none;
   return p;
--- a/src/zones/council.cpp
+++ b/src/zones/quorum.cpp
@@ -1,26 +1,31 @@
-#include "zones/council.h"
+#include "zones/quorum.h"
 
 namespace reedchute::zones {
 namespace {
 
-constexpr double kRounds = 20, kSays = 8;  // in the span that fronts look back: decisions, and words to others
-constexpr double kFade = 0.3;              // weight of the newest in the rate
+constexpr double kRounds = 20,
+                 kSays = 8;    // in the span that fronts look back: decisions, and words to others
+constexpr double kFade = 0.3;  // weight of the newest in the rate
 
 }  // namespace
 
-Council::Council(Leaving rules, std::string name, std::string ownZone, membership::Circle& circle)
-    : rules_(rules), ownZone_(ownZone), circle_(circle), watch_(rules.back), zones_(rules, std::move(name), ownZone) {}
+Quorum::Quorum(Leaving rules, std::string name, std::string ownZone, membership::Gossip& gossip)
+    : rules_(rules),
+      ownZone_(ownZone),
+      gossip_(gossip),
+      watch_(rules.back),
+      zones_(rules, std::move(name), ownZone) {}
 
-double Council::heardRate() const {
+double Quorum::heardRate() const {
   double rate = own_.rate;
   for (const auto& [name, known] : told_) rate += known.told.sight.rate;
   return rate;
 }
 
-void Council::round(TimePoint now) {
+void Quorum::round(TimePoint now) {
   if (now < dueAt_) return;
   dueAt_ = now + rules_.back * (1 / kRounds);
-  const membership::Members& members = circle_.members();
+  const membership::Members& members = gossip_.members();
 
   double rate = own_.rate;
   if (ratedAt_ == kNever) ratedAt_ = now;
@@ -36,12 +41,12 @@
   for (const auto& [zone, seen] : own_.zones) stores_[zone] = watch_.storesIn(zone);
   zones_.tellInto(own_, now);
 
-  const auto& notes = circle_.notes().on(kSightTopic, now);
+  const auto& notes = gossip_.notes().on(kSightTopic, now);
   std::erase_if(told_, [&](const auto& e) { return !notes.contains(e.first); });
   for (const auto& [origin, held] : notes) {
     Known& known = told_[origin];
-    if (known.life != held.life || known.number != held.number) {
-      known.life = held.life, known.number = held.number;
+    if (known.generation != held.generation || known.number != held.number) {
+      known.generation = held.generation, known.number = held.number;
       // Danger: what can't be read must not leave an older word standing in its place.
       if (!fromBytes(held.bytes, known.told.sight)) known.told.sight = Sight{}, ++unreadable_;
     }
@@ -62,7 +67,7 @@
   if (now - saidAt_ >= rules_.back * (1 / kSays)) {
     saidAt_ = now;
     zones_.tellInto(own_, now);
-    circle_.notes().say(kSightTopic, toBytes(own_), now);
+    gossip_.notes().say(kSightTopic, toBytes(own_), now);
   }
 }
 
--- a/src/zones/council.h
+++ b/src/zones/quorum.h
@@ -1,5 +1,5 @@
-// What a front's zones take part in: its own counts, those of others as notes of the circle, and the decision. Without
-// I/O and clock; the front and the tests run the same.
+// What a front's zones take part in: its own counts, those of others as gossiped notes, and the decision.
+// Without I/O and clock; the front and the tests run the same.
 #pragma once
 
 #include <cstdint>
@@ -7,21 +7,21 @@
 #include <string>
 #include <vector>
 
-#include "membership/circle.h"
+#include "membership/gossip.h"
 #include "zones/zones.h"
 
 namespace reedchute::zones {
 
 inline constexpr int kSightTopic = 0;
 
-class Council {
+class Quorum {
  public:
-  Council(Leaving rules, std::string name, std::string ownZone, membership::Circle& circle);
+  Quorum(Leaving rules, std::string name, std::string ownZone, membership::Gossip& gossip);
 
   // Facts. An empty zone: the list names the store no more.
   void store(int store, const std::string& zone, int group) { watch_.store(store, zone, group); }
   void saw(int store, Watch::Seen seen, TimePoint now) { watch_.saw(store, seen, now); }
-  void took() { ++taken_; }               // a statement
+  void took() { ++taken_; }                 // a statement
   void room(double part) { room_ = part; }  // of what the front might send that it doesn't
 
   // Does what is due: tells what was seen, hears what others saw, decides. Cheap when nothing is.
@@ -38,14 +38,14 @@
 
  private:
   struct Known {
-    std::uint64_t life = 0;
+    std::uint64_t generation = 0;
     std::uint32_t number = 0;
     Told told;
   };
 
   Leaving rules_;
   std::string ownZone_;
-  membership::Circle& circle_;
+  membership::Gossip& gossip_;
   Watch watch_;
   Zones zones_;
   Sight own_;
--- a/src/zones/zones.cpp
+++ b/src/zones/zones.cpp
@@ -21,7 +21,7 @@
 constexpr double kFirstShare = 1.0 / 16;
 constexpr double kFollow = 0.6;      // of the fronts of one's own zone that have left: then one follows
 constexpr double kRelapse = 0.34;    // of the weight that speaks against a returning zone: it is left again
-constexpr Span kTurn{500'000};       // the same front looks
+constexpr Span kTurn{500'000};       // the same front probes
 
 double badOf(const ZoneSight& z) {
   int tried = z.answers + z.failed;
@@ -182,7 +182,8 @@
 // Few fronts look at a time, another few the next time; no one has to tell them.
 bool Zones::turn(const std::string& zone, std::size_t live, TimePoint now) const {
   std::uint64_t h = hashOf(name_, zone, now.us / kTurn.us);
-  return static_cast<double>(h >> 11) / 9007199254740992.0 < static_cast<double>(rules_.lookers) / static_cast<double>(live);
+  return static_cast<double>(h >> 11) / 9007199254740992.0 <
+         static_cast<double>(rules_.probers) / static_cast<double>(live);
 }
 
 void Zones::decide(const Views& v, TimePoint now) {
@@ -215,13 +216,13 @@
   Order order = z.command.order;
 
   if (order == Order::hold) {
-    z.looks = z.stage != Stage::left || turn(zone, v.liveHere, now);
+    z.probes = z.stage != Stage::left || turn(zone, v.liveHere, now);
     return;
   }
   switch (z.stage) {
     case Stage::whole:
     case Stage::doubted: {
-      z.looks = true;
+      z.probes = true;
       if (order == Order::leave) {
         if (mayLeave(zone)) enter(zone, Stage::left, Cause::commanded, 0, now);
         return;
@@ -261,7 +262,7 @@
       return;
     }
     case Stage::left: {
-      z.looks = turn(zone, v.liveHere, now);
+      z.probes = turn(zone, v.liveHere, now);
       if (order == Order::leave) return;
       // What those see who look, or send the share that stays; a front alone goes by its own eyes.
       bool answers = votes.fineFronts >= 1 && votes.fine >= kMajority * weight;
@@ -271,7 +272,7 @@
       bool stood = h.answersAt > kNever && now - h.answersAt >= hold(z.tries);
       bool others = votes.returning >= need && votes.returning >= kFollow * stages;
       if (order == Order::back || stood || (others && !bad)) {
-        z.looks = true;
+        z.probes = true;
         h.suspectedAt = kNever;
         enter(zone, Stage::returning, order == Order::back ? Cause::commanded : Cause::recovered,
               std::max(z.share, kFirstShare), now);
@@ -279,7 +280,7 @@
       return;
     }
     case Stage::returning: {
-      z.looks = true;
+      z.probes = true;
       if (order == Order::leave) {
         enter(zone, Stage::left, Cause::commanded, 0, now);
         return;
--- a/src/zones/zones.h
+++ b/src/zones/zones.h
@@ -24,7 +24,7 @@
   Span longest{120'000'000};   // and is no longer than that
   Span ramp{8'000'000};        // from the first share of a returning zone to the whole
   Span steady{60'000'000};     // that a zone must stand before its former falls are forgotten
-  int lookers = 3;             // fronts that look at a left zone at a time
+  int probers = 3;             // fronts that probe a left zone at a time
 };
 
 enum class Cause { none, gone, cutOff, grey, commanded, followed, recovered, relapsed };
@@ -47,7 +47,7 @@
   Stage stage = Stage::whole;
   Cause cause = Cause::none;
   double share = 1;     // of the usual traffic
-  bool looks = true;    // may this front try its stores now, where it has found them away?
+  bool probes = true;   // may this front probe its stores now, where it has found them away?
   TimePoint since = kNever;  // in this stage
   int tries = 0;
   // The counts behind the last verdict: fronts that could tell, by what they told.
--- a/tests/membership.cpp
+++ b/tests/membership.cpp
@@ -55,7 +55,7 @@
   int until(const std::function<bool()>& so, int most = 400) {
     for (int k = 0; k < most; ++k) {
       if (so()) return k;
-      pass(rhythm.period);
+      pass(parameters.period);
     }
     return -1;
   }
@@ -171,7 +171,7 @@
 
 void lives() {
   Fleet f(10);
-  std::uint64_t was = f.hosts[2].life;
+  std::uint64_t was = f.hosts[2].generation;
   f.kill(2);
   f.pass(ms(600));
   f.start(2, {0, 1});
@@ -179,7 +179,7 @@
     int n = 0;
     for (int k = 0; k < 10; ++k) {
       const Member* m = k == 2 ? nullptr : f.at(k).members().find("f2");
-      n += m && m->is.life > was && m->is.state == State::alive;
+      n += m && m->is.generation > was && m->is.state == State::alive;
     }
     return n == 9;
   });
@@ -203,21 +203,24 @@
 // What must change nothing: each is counted, and that is all.
 void dropped() {
   Fleet f(3);
-  Circle& c = f.at(0);
+  Gossip& c = f.at(0);
   auto dropsOf = [&] {
-    const auto& t = c.tally();
+    const auto& t = c.counters();
     const auto& d = c.members().dropped();
     char text[200];
-    std::snprintf(text, sizeof text, "size %d version %d key %d form %d; fleet %d life %d again %d for another %d own name %d",
-                  static_cast<int>(t.bad[1]), static_cast<int>(t.bad[2]), static_cast<int>(t.bad[3]), static_cast<int>(t.bad[4]),
-                  static_cast<int>(d.otherFleet), static_cast<int>(d.oldLife), static_cast<int>(d.replayed),
+    std::snprintf(text, sizeof text,
+                  "size %d version %d key %d form %d; fleet %d life %d again %d for another %d own name %d",
+                  static_cast<int>(t.bad[1]), static_cast<int>(t.bad[2]), static_cast<int>(t.bad[3]),
+                  static_cast<int>(t.bad[4]), static_cast<int>(d.otherFleet),
+                  static_cast<int>(d.oldGeneration), static_cast<int>(d.replayed),
                   static_cast<int>(d.misdirected), static_cast<int>(d.ownName));
     return std::string(text);
   };
   Keys key{"0123456789abcdef0123456789abcdef"};
   Packet p;
-  p.fleet = "f", p.from = {"f1", "b", Net::addressOf(1), f.hosts[1].life, 0, State::alive}, p.number = 1'000'000;
-  p.rumors.push_back({"f2", "c", Net::addressOf(2), f.hosts[2].life, 9, State::suspect});
+  p.fleet = "f", p.from = {"f1", "b", Net::addressOf(1), f.hosts[1].generation, 0, State::alive},
+  p.number = 1'000'000;
+  p.rumors.push_back({"f2", "c", Net::addressOf(2), f.hosts[2].generation, 9, State::suspect});
   auto give = [&](const char* what, const std::string& bytes) {
     c.datagram(bytes, Net::addressOf(1), f.now);
     c.takeDatagrams(f.now);
@@ -234,7 +237,7 @@
   Packet q = p;
   q.fleet = "g";
   give("another fleet", *toDatagram(q, key));
-  q = p, q.from.life -= 1;
+  q = p, q.from.generation -= 1;
   give("of a life that is over", *toDatagram(q, key));
   q = p, q.to = "f2";
   give("for another", *toDatagram(q, key));
@@ -242,7 +245,7 @@
   give("without a number", *toDatagram(q, key));
   q = p, q.from.name = "f0";
   give("in its own name", *toDatagram(q, key));
-  q = p, q.rumors[0].life -= 1;
+  q = p, q.rumors[0].generation -= 1;
   give("of an old life of f2", *toDatagram(q, key));
   q = p, q.number += 1;
   give("the same, genuine", *toDatagram(q, key));
--- a/tests/rig/net.h
+++ b/tests/rig/net.h
@@ -1,4 +1,4 @@
-// A network in one process, on a clock of its own: circles that send each other datagrams which are late, lost,
+// A network in one process, on a clock of its own: fronts that gossip by datagrams which are late, lost,
 // doubled, overtaken or cut off, all by seed.
 #pragma once
 
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-#include "membership/circle.h"
+#include "membership/gossip.h"
 
 namespace reedchute::test {
 
@@ -24,10 +24,10 @@
     Span late;                         // up to that much more for one in ten
   };
   struct Host {
-    std::unique_ptr<membership::Circle> circle;
+    std::unique_ptr<membership::Gossip> gossip;
     std::string name, zone;
     bool up = false, paused = false;
-    std::uint64_t life = 0;
+    std::uint64_t generation = 0;
     std::uint64_t packets = 0, bytes = 0;  // sent
   };
 
@@ -42,16 +42,22 @@
   void start(int host, std::vector<int> seeds, const std::string& fleet = "f", membership::Keys keys = {"0123456789abcdef0123456789abcdef"}) {
     Host& h = hosts[static_cast<std::size_t>(host)];
     h.up = true, h.paused = false;
-    h.life = static_cast<std::uint64_t>(now.us / 1000);
-    membership::Self self{fleet, h.name, h.zone, addressOf(host), h.life, {}, seed_ * 7919 + static_cast<std::uint64_t>(host) + h.life};
+    h.generation = static_cast<std::uint64_t>(now.us / 1000);
+    membership::Self self{fleet,
+                          h.name,
+                          h.zone,
+                          addressOf(host),
+                          h.generation,
+                          {},
+                          seed_ * 7919 + static_cast<std::uint64_t>(host) + h.generation};
     for (int s : seeds) self.seeds.push_back(addressOf(s));
-    h.circle = std::make_unique<membership::Circle>(self, rhythm, bounds, std::move(keys), now);
+    h.gossip = std::make_unique<membership::Gossip>(self, parameters, bounds, std::move(keys), now);
     wake(host);
   }
   void kill(int host) { hosts[static_cast<std::size_t>(host)].up = false; }
   void leave(int host) {
     Host& h = hosts[static_cast<std::size_t>(host)];
-    h.circle->leave(now), flush(host), h.up = false;
+    h.gossip->leave(now), flush(host), h.up = false;
   }
   void pause(int host) { hosts[static_cast<std::size_t>(host)].paused = true; }
   // What came meanwhile is there at once, as in the kernel's buffer.
@@ -59,10 +65,10 @@
     Host& h = hosts[static_cast<std::size_t>(host)];
     h.paused = false;
     auto kept = std::exchange(held_[host], {});
-    for (const Datagram& d : kept) h.circle->datagram(d.bytes, addressOf(d.from), now);
+    for (const Datagram& d : kept) h.gossip->datagram(d.bytes, addressOf(d.from), now);
     wake(host);
   }
-  membership::Circle& at(int host) { return *hosts[static_cast<std::size_t>(host)].circle; }
+  membership::Gossip& at(int host) { return *hosts[static_cast<std::size_t>(host)].gossip; }
   bool runs(int host) const { return hosts[static_cast<std::size_t>(host)].up && !hosts[static_cast<std::size_t>(host)].paused; }
 
   int running() const {
@@ -74,7 +80,7 @@
 
   void flush(int host) {
     Host& h = hosts[static_cast<std::size_t>(host)];
-    for (auto& [to, bytes] : h.circle->takeDatagrams(now)) {
+    for (auto& [to, bytes] : h.gossip->takeDatagrams(now)) {
       ++h.packets, h.bytes += bytes.size();
       int target = static_cast<int>(to.ip - 0x0a000000u);
       if (target < 0 || target >= static_cast<int>(hosts.size()) || cut(host, target)) continue;
@@ -101,16 +107,16 @@
         continue;
       }
       if (e.datagram.bytes.empty()) {
-        if (h.circle->dueAt() <= now) h.circle->tick(now), ticked(e.host);
+        if (h.gossip->dueAt() <= now) h.gossip->tick(now), ticked(e.host);
       } else {
-        h.circle->datagram(e.datagram.bytes, addressOf(e.datagram.from), now);
+        h.gossip->datagram(e.datagram.bytes, addressOf(e.datagram.from), now);
       }
       flush(e.host), wake(e.host);
     }
     now = end;
   }
   void wake(int host) {
-    TimePoint due = std::max(now, hosts[static_cast<std::size_t>(host)].circle->dueAt());
+    TimePoint due = std::max(now, hosts[static_cast<std::size_t>(host)].gossip->dueAt());
     TimePoint& set = wakes_[host];
     if (set > now && set <= due) return;
     set = due;
@@ -121,7 +127,7 @@
   TimePoint now{1'700'000'000'000'000};
   std::vector<Host> hosts;
   Faults faults;
-  membership::Rhythm rhythm;
+  membership::Parameters parameters;
   membership::Notes::Bounds bounds;
   std::ranlux24_base chance;
   std::function<bool(int from, int to)> cut = [](int, int) { return false; };
--- a/tests/zones.cpp
+++ b/tests/zones.cpp
@@ -8,7 +8,7 @@
 
 #include "rig/net.h"
 #include "trace.h"
-#include "zones/council.h"
+#include "zones/quorum.h"
 
 using namespace reedchute;
 using namespace reedchute::zones;
--- a/tests/zones_fleet.cpp
+++ b/tests/zones_fleet.cpp
@@ -11,7 +11,7 @@
 
 #include "rig/net.h"
 #include "trace.h"
-#include "zones/council.h"
+#include "zones/quorum.h"
 
 using namespace reedchute;
 using namespace reedchute::zones;
@@ -41,7 +41,7 @@
 
 struct Front {
   double rate = 0;
-  std::unique_ptr<Council> council;
+  std::unique_ptr<Quorum> quorum;
   struct Sight {
     TimePoint until = kNever;
     Span block{};
@@ -79,8 +79,9 @@
   void starts(int k) {
     start(k, {0, 1, 2});
     Front& f = fleet[static_cast<std::size_t>(k)];
-    f.council = std::make_unique<Council>(rules_, hosts[static_cast<std::size_t>(k)].name, zoneFor(k), at(k));
-    for (std::size_t s = 0; s < stores.size(); ++s) f.stores[s] = {}, f.council->store(static_cast<int>(s), stores[s].zone, static_cast<int>(s / 3));
+    f.quorum = std::make_unique<Quorum>(rules_, hosts[static_cast<std::size_t>(k)].name, zoneFor(k), at(k));
+    for (std::size_t s = 0; s < stores.size(); ++s)
+      f.stores[s] = {}, f.quorum->store(static_cast<int>(s), stores[s].zone, static_cast<int>(s / 3));
     f.share.clear();
   }
   void zoneUp(const std::string& zone, bool up, bool cold = true) {
@@ -153,8 +154,8 @@
   void step(int k) {
     Front& f = fleet[static_cast<std::size_t>(k)];
     if (together_) {
-      f.council->round(now);
-      for (const auto& [zone, z] : f.council->zones().all()) {
+      f.quorum->round(now);
+      for (const auto& [zone, z] : f.quorum->zones().all()) {
         double before = shareOf(f, zone);
         f.share[zone] = z.share;
         if (before <= 0 && z.share > 0)
@@ -166,11 +167,11 @@
     for (std::size_t s = 0; s < stores.size(); ++s) {
       Front::Sight& sight = f.stores[s];
       if (sight.block == Span{} || sight.until > now) continue;
-      const zones::ZoneState* z = together_ ? f.council->zones().find(stores[s].zone) : nullptr;
-      if (z && !z->looks) continue;
+      const zones::ZoneState* z = together_ ? f.quorum->zones().find(stores[s].zone) : nullptr;
+      if (z && !z->probes) continue;
       ++counts.probes;
       bool answers = stores[s].up && reaches(k, static_cast<int>(s));
-      f.council->saw(static_cast<int>(s), answers ? Watch::Seen::answer : Watch::Seen::failed, now);
+      f.quorum->saw(static_cast<int>(s), answers ? Watch::Seen::answer : Watch::Seen::failed, now);
       answers ? becomesCold(sight) : blocks(sight);
     }
     double n = f.rate * kStep.seconds();
@@ -193,7 +194,7 @@
   void statement(int k) {
     Front& f = fleet[static_cast<std::size_t>(k)];
     ++counts.asked;
-    f.council->took();
+    f.quorum->took();
     for (int tries = 0; tries < 3; ++tries) {
       double sum = 0;
       std::vector<std::pair<double, std::size_t>> fit;
@@ -209,13 +210,13 @@
       if (f.stores[s].cold) f.stores[s].budget -= 1;
       if (!store.up || !reaches(k, static_cast<int>(s))) {
         ++counts.vain;
-        f.council->saw(static_cast<int>(s), Watch::Seen::failed, now);
+        f.quorum->saw(static_cast<int>(s), Watch::Seen::failed, now);
         blocks(f.stores[s]);
         continue;
       }
       store.came.push_back(now);
       bool late = part() < store.lateShare;
-      f.council->saw(static_cast<int>(s), late ? Watch::Seen::late : Watch::Seen::answer, now);
+      f.quorum->saw(static_cast<int>(s), late ? Watch::Seen::late : Watch::Seen::answer, now);
       // Each try in vain costs a connect time-out: after one it is late.
       late || tries > 0 ? ++counts.late : ++counts.served;
       return;
@@ -233,7 +234,7 @@
     if (!together_) return;
     broken += count([&](const Front& f) {
       int left = 0, all = 0;
-      for (const auto& [zone, z] : f.council->zones().all()) ++all, left += z.stage == Stage::left;
+      for (const auto& [zone, z] : f.quorum->zones().all()) ++all, left += z.stage == Stage::left;
       return left > rules_.atOnce || (all > 0 && left == all);
     });
   }
