--- a/tests/membership.cpp
+++ b/tests/membership.cpp
@@ -22,7 +22,7 @@
 // A fleet in three zones that knows itself.
 struct Fleet : Net {
   explicit Fleet(int n, std::uint64_t seed = 1, bool started = true) : Net(seed) {
-    for (int k = 0; k < n; ++k) add(nameFor(k), std::string(1, static_cast<char>('a' + k % 3)));
+    for (int k = 0; k < n; ++k) add(nameFor(k), zoneFor(k));
     if (!started) return;
     for (int k = 0; k < n; ++k) start(k, {0, 1});
     pass(ms(20'000));
@@ -39,9 +39,10 @@
     }
     return n;
   }
-  int running() const {
+  // How many views, of all fronts but this one, hold it dead.
+  int heldDeadBut(int one) {
     int n = 0;
-    for (int k = 0; k < size(); ++k) n += runs(k);
+    for (int k = 0; k < size(); ++k) n += k == one ? 0 : hold(k, State::dead);
     return n;
   }
   // How many of those that run count just so many live ones, themselves included.
@@ -54,7 +55,7 @@
   int until(const std::function<bool()>& so, int most = 400) {
     for (int k = 0; k < most; ++k) {
       if (so()) return k;
-      pass(rhythm.period);
+      pass(parameters.period);
     }
     return -1;
   }
@@ -113,9 +114,7 @@
   f.pass(ms(10));
   std::printf("it wakes and doubts itself: %s\n", f.at(7).members().doubtsItself(f.now) ? "yes" : "no");
   int took = f.until([&] { return f.hold(7, State::alive) == 29; });
-  int wrong = 0;
-  for (int k = 0; k < 30; ++k)
-    if (k != 7) wrong += f.hold(k, State::dead);
+  int wrong = f.heldDeadBut(7);
   std::printf("all hold it alive again %s; others given up by it or through it: %d\n", within(took, 60), wrong);
   f.pass(ms(10'000));
   std::printf("later it believes in itself again: %s\n", f.at(7).members().doubtsItself(f.now) ? "no" : "yes");
@@ -131,10 +130,7 @@
     f.pass(ms(900));
     if (f.hosts[3].paused) f.resume(3);
   }
-  int wrong = 0;
-  for (int k = 0; k < 30; ++k)
-    if (k != 3) wrong += f.hold(k, State::dead);
-  std::printf("one of 30 runs a tenth of its time: it gave up %d others\n", wrong);
+  std::printf("one of 30 runs a tenth of its time: it gave up %d others\n", f.heldDeadBut(3));
 }
 
 void loss() {
@@ -170,15 +166,12 @@
   f.pass(ms(15'000));
   std::printf("one whose words are lost, and who hears all: given up by %d, it doubts itself: %s\n", f.hold(5, State::dead),
               f.at(5).members().doubtsItself(f.now) ? "yes" : "no");
-  int wrong = 0;
-  for (int k = 0; k < 30; ++k)
-    if (k != 5) wrong += f.hold(k, State::dead);
-  std::printf("others given up through it: %d\n", wrong);
+  std::printf("others given up through it: %d\n", f.heldDeadBut(5));
 }
 
 void lives() {
   Fleet f(10);
-  std::uint64_t was = f.hosts[2].life;
+  std::uint64_t was = f.hosts[2].generation;
   f.kill(2);
   f.pass(ms(600));
   f.start(2, {0, 1});
@@ -186,7 +179,7 @@
     int n = 0;
     for (int k = 0; k < 10; ++k) {
       const Member* m = k == 2 ? nullptr : f.at(k).members().find("f2");
-      n += m && m->is.life > was && m->is.state == State::alive;
+      n += m && m->is.generation > was && m->is.state == State::alive;
     }
     return n == 9;
   });
@@ -210,21 +203,24 @@
 // What must change nothing: each is counted, and that is all.
 void dropped() {
   Fleet f(3);
-  Circle& c = f.at(0);
+  Gossip& c = f.at(0);
   auto dropsOf = [&] {
-    const auto& t = c.tally();
+    const auto& t = c.counters();
     const auto& d = c.members().dropped();
     char text[200];
-    std::snprintf(text, sizeof text, "size %d version %d key %d form %d; fleet %d life %d again %d for another %d own name %d",
-                  static_cast<int>(t.bad[1]), static_cast<int>(t.bad[2]), static_cast<int>(t.bad[3]), static_cast<int>(t.bad[4]),
-                  static_cast<int>(d.otherFleet), static_cast<int>(d.oldLife), static_cast<int>(d.replayed),
+    std::snprintf(text, sizeof text,
+                  "size %d version %d key %d form %d; fleet %d life %d again %d for another %d own name %d",
+                  static_cast<int>(t.bad[1]), static_cast<int>(t.bad[2]), static_cast<int>(t.bad[3]),
+                  static_cast<int>(t.bad[4]), static_cast<int>(d.otherFleet),
+                  static_cast<int>(d.oldGeneration), static_cast<int>(d.replayed),
                   static_cast<int>(d.misdirected), static_cast<int>(d.ownName));
     return std::string(text);
   };
   Keys key{"0123456789abcdef0123456789abcdef"};
   Packet p;
-  p.fleet = "f", p.from = {"f1", "b", Net::addressOf(1), f.hosts[1].life, 0, State::alive}, p.number = 1'000'000;
-  p.rumors.push_back({"f2", "c", Net::addressOf(2), f.hosts[2].life, 9, State::suspect});
+  p.fleet = "f", p.from = {"f1", "b", Net::addressOf(1), f.hosts[1].generation, 0, State::alive},
+  p.number = 1'000'000;
+  p.rumors.push_back({"f2", "c", Net::addressOf(2), f.hosts[2].generation, 9, State::suspect});
   auto give = [&](const char* what, const std::string& bytes) {
     c.datagram(bytes, Net::addressOf(1), f.now);
     c.takeDatagrams(f.now);
@@ -241,7 +237,7 @@
   Packet q = p;
   q.fleet = "g";
   give("another fleet", *toDatagram(q, key));
-  q = p, q.from.life -= 1;
+  q = p, q.from.generation -= 1;
   give("of a life that is over", *toDatagram(q, key));
   q = p, q.to = "f2";
   give("for another", *toDatagram(q, key));
@@ -249,7 +245,7 @@
   give("without a number", *toDatagram(q, key));
   q = p, q.from.name = "f0";
   give("in its own name", *toDatagram(q, key));
-  q = p, q.rumors[0].life -= 1;
+  q = p, q.rumors[0].generation -= 1;
   give("of an old life of f2", *toDatagram(q, key));
   q = p, q.number += 1;
   give("the same, genuine", *toDatagram(q, key));
@@ -291,14 +287,13 @@
     for (int k = 0; k < n; ++k) f.start(k, {0, 1});
     f.ticked = [&](int host) { f.at(host).notes().say(0, std::string(64, 'n'), f.now); };
     f.pass(ms(settles));
-    std::uint64_t packets = 0, bytes = 0;
-    for (auto& h : f.hosts) packets += h.packets, bytes += h.bytes;
+    for (auto& h : f.hosts) h.packets = h.bytes = 0;
     f.pass(ms(20'000));
-    std::uint64_t p = 0, b = 0;
+    std::uint64_t packets = 0, bytes = 0;
     std::size_t notes = 0;
-    for (auto& h : f.hosts) p += h.packets, b += h.bytes;
+    for (auto& h : f.hosts) packets += h.packets, bytes += h.bytes;
     for (int k = 0; k < n; ++k) notes = std::max(notes, f.at(k).notes().on(0, f.now).size());
-    double rate = static_cast<double>(b - bytes) / n / 20, packetsASecond = static_cast<double>(p - packets) / n / 20;
+    double rate = static_cast<double>(bytes) / n / 20, packetsASecond = static_cast<double>(packets) / n / 20;
     if (base == 0) base = rate;
     std::fprintf(stderr, "%d fronts: %.1f packets and %.0f bytes a second and front, at most %d notes held, %d know all\n", n,
                  packetsASecond, rate, static_cast<int>(notes), f.count(static_cast<std::size_t>(n)));
--- a/tests/pipeline.cpp
+++ b/tests/pipeline.cpp
@@ -1,6 +1,5 @@
 // Statements that stand behind others on one connection: whose time runs from when they came, which go side
 // by side, and in which order they are answered. The front is a process of its own.
-#include <csignal>
 #include <cstdio>
 #include <memory>
 #include <string>
@@ -17,7 +16,6 @@
 using test::CqlClient;
 using test::Drive;
 using test::ms;
-using test::runCase;
 
 namespace {
 
@@ -148,9 +146,4 @@
 }  // namespace
 
 // pipeline PROGRAM CASE
-int main(int argc, char** argv) {
-  std::signal(SIGPIPE, SIG_IGN);
-  std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  if (argc > 1) test::program = argv[1];
-  return runCase(kCases, argc - 1, argv + 1);
-}
+int main(int argc, char** argv) { return test::runOnFront(kCases, argc, argv); }
--- a/tests/zones_fleet.cpp
+++ b/tests/zones_fleet.cpp
@@ -11,7 +11,7 @@
 
 #include "rig/net.h"
 #include "trace.h"
-#include "zones/council.h"
+#include "zones/quorum.h"
 
 using namespace reedchute;
 using namespace reedchute::zones;
@@ -41,7 +41,7 @@
 
 struct Front {
   double rate = 0;
-  std::unique_ptr<Council> council;
+  std::unique_ptr<Quorum> quorum;
   struct Sight {
     TimePoint until = kNever;
     Span block{};
@@ -75,13 +75,13 @@
     run(ms(8000));
     counts = {};
   }
-  static std::string zoneFor(int k) { return std::string(1, static_cast<char>('a' + k % 3)); }
 
   void starts(int k) {
     start(k, {0, 1, 2});
     Front& f = fleet[static_cast<std::size_t>(k)];
-    f.council = std::make_unique<Council>(rules_, hosts[static_cast<std::size_t>(k)].name, zoneFor(k), at(k));
-    for (std::size_t s = 0; s < stores.size(); ++s) f.stores[s] = {}, f.council->store(static_cast<int>(s), stores[s].zone, static_cast<int>(s / 3));
+    f.quorum = std::make_unique<Quorum>(rules_, hosts[static_cast<std::size_t>(k)].name, zoneFor(k), at(k));
+    for (std::size_t s = 0; s < stores.size(); ++s)
+      f.stores[s] = {}, f.quorum->store(static_cast<int>(s), stores[s].zone, static_cast<int>(s / 3));
     f.share.clear();
   }
   void zoneUp(const std::string& zone, bool up, bool cold = true) {
@@ -105,32 +105,22 @@
     }
   }
 
+  // How many fronts that run are so.
+  int count(const std::function<bool(const Front&)>& so) const {
+    int n = 0;
+    for (std::size_t k = 0; k < fleet.size(); ++k) n += runs(static_cast<int>(k)) && so(fleet[k]);
+    return n;
+  }
   // How many fronts that run send this zone less than a part of its share, by what they were told or found out.
   int away(const std::string& zone, double part = 0.1) const {
-    int n = 0;
-    for (std::size_t k = 0; k < fleet.size(); ++k) {
-      if (!runs(static_cast<int>(k))) continue;
+    return count([&](const Front& f) {
       int open = 0, there = 0;
       for (std::size_t s = 0; s < stores.size(); ++s) {
         if (stores[s].zone != zone) continue;
-        ++there, open += fleet[k].stores[s].until <= now;
+        ++there, open += f.stores[s].until <= now;
       }
-      n += shareOf(fleet[k], zone) * open <= part * there;
-    }
-    return n;
-  }
-  int stage(const std::string& zone, Stage is) const {
-    int n = 0;
-    for (std::size_t k = 0; k < fleet.size(); ++k) {
-      const zones::ZoneState* z = runs(static_cast<int>(k)) ? fleet[k].council->zones().find(zone) : nullptr;
-      n += z && z->stage == is;
-    }
-    return n;
-  }
-  int running() const {
-    int n = 0;
-    for (std::size_t k = 0; k < fleet.size(); ++k) n += runs(static_cast<int>(k));
-    return n;
+      return shareOf(f, zone) * open <= part * there;
+    });
   }
   Span until(const std::function<bool()>& so, Span most = Span{60'000'000}) {
     TimePoint from = now;
@@ -164,8 +154,8 @@
   void step(int k) {
     Front& f = fleet[static_cast<std::size_t>(k)];
     if (together_) {
-      f.council->round(now);
-      for (const auto& [zone, z] : f.council->zones().all()) {
+      f.quorum->round(now);
+      for (const auto& [zone, z] : f.quorum->zones().all()) {
         double before = shareOf(f, zone);
         f.share[zone] = z.share;
         if (before <= 0 && z.share > 0)
@@ -177,11 +167,11 @@
     for (std::size_t s = 0; s < stores.size(); ++s) {
       Front::Sight& sight = f.stores[s];
       if (sight.block == Span{} || sight.until > now) continue;
-      const zones::ZoneState* z = together_ ? f.council->zones().find(stores[s].zone) : nullptr;
-      if (z && !z->looks) continue;
+      const zones::ZoneState* z = together_ ? f.quorum->zones().find(stores[s].zone) : nullptr;
+      if (z && !z->probes) continue;
       ++counts.probes;
       bool answers = stores[s].up && reaches(k, static_cast<int>(s));
-      f.council->saw(static_cast<int>(s), answers ? Watch::Seen::answer : Watch::Seen::failed, now);
+      f.quorum->saw(static_cast<int>(s), answers ? Watch::Seen::answer : Watch::Seen::failed, now);
       answers ? becomesCold(sight) : blocks(sight);
     }
     double n = f.rate * kStep.seconds();
@@ -204,7 +194,7 @@
   void statement(int k) {
     Front& f = fleet[static_cast<std::size_t>(k)];
     ++counts.asked;
-    f.council->took();
+    f.quorum->took();
     for (int tries = 0; tries < 3; ++tries) {
       double sum = 0;
       std::vector<std::pair<double, std::size_t>> fit;
@@ -220,13 +210,13 @@
       if (f.stores[s].cold) f.stores[s].budget -= 1;
       if (!store.up || !reaches(k, static_cast<int>(s))) {
         ++counts.vain;
-        f.council->saw(static_cast<int>(s), Watch::Seen::failed, now);
+        f.quorum->saw(static_cast<int>(s), Watch::Seen::failed, now);
         blocks(f.stores[s]);
         continue;
       }
       store.came.push_back(now);
       bool late = part() < store.lateShare;
-      f.council->saw(static_cast<int>(s), late ? Watch::Seen::late : Watch::Seen::answer, now);
+      f.quorum->saw(static_cast<int>(s), late ? Watch::Seen::late : Watch::Seen::answer, now);
       // Each try in vain costs a connect time-out: after one it is late.
       late || tries > 0 ? ++counts.late : ++counts.served;
       return;
@@ -242,12 +232,11 @@
       if (static_cast<double>(s.came.size()) > bears) ++s.falls, s.came.clear(), s.started = now;
     }
     if (!together_) return;
-    for (std::size_t k = 0; k < fleet.size(); ++k) {
-      if (!runs(static_cast<int>(k))) continue;
+    broken += count([&](const Front& f) {
       int left = 0, all = 0;
-      for (const auto& [zone, z] : fleet[k].council->zones().all()) ++all, left += z.stage == Stage::left;
-      broken += left > rules_.atOnce || (all > 0 && left == all);
-    }
+      for (const auto& [zone, z] : f.quorum->zones().all()) ++all, left += z.stage == Stage::left;
+      return left > rules_.atOnce || (all > 0 && left == all);
+    });
   }
 
   Leaving rules_;
