All is timed by the monotonic clock; a wall clock that is set stops and ends nothing

The scheduler's clock was the wall clock kept from going back (Scheduler::instant): set back by a minute it stopped every timer for a minute, set ahead by a minute it ended every statement in hand, and what was found fresh by it stayed so.

now() and instant() read the monotonic clock. Moments that protocols name in Unix time (after, positions, started_ms, those in paging states) have a type, WallTime, and keep it until the module is told; sched/wall_clock.h brings them over, by the offset between the clocks as a round finds it. It is read between two looks at the monotonic clock, so that a process that stands still in between sees no step. A token ahead of the clock counts as the position that it names, and not as a write just now. The ledger's thread syncs by the steady clock.

Tests: a front as a process with a library of the tests' own loaded before it that shifts its wall clock, set while it is stopped; a scenario of the module. Without the mend all four of the front's fail: a write that was out is aborted, a read that nobody answers has no answer in 20 s.

--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -106,7 +106,7 @@
 
 void Toy::revive(int number) {
   Store& s = *stores_[static_cast<std::size_t>(number)];
-  s.startedMs = scheduler_.now().us / 1000;
+  s.startedMs = wallNow().us / 1000;
   s.listener = std::make_unique<sched::Descriptor>(scheduler_, sched::listenOn(loopback(s.port)));
   acceptStore(number);
   s.prepared.clear();
@@ -165,7 +165,7 @@
       in.erase(0, m.whole.size());
       if (text == "SHOW usage") {
         // A primary stands at the present; so does a toy replica that was not told to lag.
-        double position = (positionOf(store) - TimePoint{}).seconds();
+        double position = (positionOf(store) - WallTime{}).seconds();
         out = row("x0=" + std::to_string(position) + ",x1=" + (store.primary ? "1" : "0") + ",inflight=0") +
               pg::message('C', std::string("SHOW\0", 5)) + pg::ready();
       } else {
@@ -301,7 +301,7 @@
     out = row("one") + row("two") + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
   } else {
     out = row("value of " + std::string(f.key)) + pg::message('C', std::string("SELECT 1\0", 9)) + role;
-    if (write) out += pg::parameter("commit_clock", std::to_string(scheduler_.now().us / 1000));
+    if (write) out += pg::parameter("commit_clock", std::to_string(wallNow().us / 1000));
     out += pg::ready();
   }
   bool sent = co_await sched::writeAll(s, out, kForever);
--- a/example/toy.h
+++ b/example/toy.h
@@ -104,7 +104,8 @@
   };
   Deed begin(int store, const std::string& id, std::string_view key, bool write, const std::string& mark,
              const std::string& text);
-  TimePoint positionOf(const Store& s) const { return scheduler_.now() - s.lag; }
+  WallTime wallNow() const { return scheduler_.wall().wallOf(scheduler_.now()); }
+  WallTime positionOf(const Store& s) const { return wallNow() - s.lag; }
 
   struct CqlLink;
   struct CqlAsked;
--- a/example/toy_cql.cpp
+++ b/example/toy_cql.cpp
@@ -182,7 +182,7 @@
     return true;
   }
   if (f.opcode == cql::Opcode::options) {
-    double position = (positionOf(store) - TimePoint{}).seconds();
+    double position = (positionOf(store) - WallTime{}).seconds();
     put(cql::Opcode::supported,
         cql::multimapBody({{"CQL_VERSION", {"3.4.5"}},
                            {"USAGE", {"x0=" + std::to_string(position) + ",x1=" + (store.primary ? "1" : "0")}}}));
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -1,4 +1,5 @@
-// Points in time and spans of time, in microseconds: two types, so that neither is taken for the other.
+// Points in time, spans of time and moments of the wall clock, in microseconds: three types, so that none is taken for
+// another.
 #pragma once
 
 #include <compare>
@@ -28,6 +29,17 @@
   constexpr Span operator-(TimePoint o) const { return {us - o.us}; }
 };
 
+// A moment as the world names it, in Unix time. The wall clock may be set at any time, so nothing is timed by it: what a
+// protocol tells in it is brought to the monotonic clock first (sched/wall_clock.h).
+struct WallTime {
+  std::int64_t us = 0;
+
+  constexpr auto operator<=>(const WallTime&) const = default;
+  constexpr WallTime operator+(Span s) const { return {us + s.us}; }
+  constexpr WallTime operator-(Span s) const { return {us - s.us}; }
+  constexpr Span operator-(WallTime o) const { return {us - o.us}; }
+};
+
 // Earlier than anything a clock shows, and far enough from the type's end to be subtracted from.
 inline constexpr TimePoint kNever{INT64_MIN / 4};
 inline constexpr TimePoint kForever{INT64_MAX / 4};
--- a/src/doors/cql/carrier.cpp
+++ b/src/doors/cql/carrier.cpp
@@ -60,7 +60,7 @@
 
  private:
   sched::Scheduler& scheduler() { return stores.scheduler(); }
-  TimePoint newest() { return scheduler().now() + stores.limits().connectTimeout; }
+  WallTime newest() { return scheduler().wall().wallOf(scheduler().now()) + stores.limits().connectTimeout; }
   bool read(TimePoint now);
   void begin(int stream);
   void beginNew();
--- a/src/doors/cql/chart.h
+++ b/src/doors/cql/chart.h
@@ -21,7 +21,7 @@
   std::string_view keyspace, table;
   std::uint16_t consistency = 0;
   bool nextPage = false;                    // of a paged read
-  std::optional<TimePoint> pagePosition;    // what the page before it was read at
+  std::optional<WallTime> pagePosition;    // what the page before it was read at
   std::string_view workload, mark;          // empty: not told
   std::optional<std::int64_t> group;
 };
--- a/src/doors/cql/page.cpp
+++ b/src/doors/cql/page.cpp
@@ -38,7 +38,7 @@
   if (c.byte() != kForm) return std::nullopt;
   Page p;
   p.store = static_cast<std::uint64_t>(c.eightBytes());
-  if (std::int64_t us = c.eightBytes(); us > 0) p.position = TimePoint{us};
+  if (std::int64_t us = c.eightBytes(); us > 0) p.position = WallTime{us};
   p.state = c.rest();
   return p;
 }
--- a/src/doors/cql/page.h
+++ b/src/doors/cql/page.h
@@ -12,7 +12,7 @@
 
 struct Page {
   std::uint64_t store = 0;  // of the store's id in the list, a hash
-  std::optional<TimePoint> position;
+  std::optional<WallTime> position;
   std::string state;  // the store's
 };
 
--- a/src/doors/cql/take_in.cpp
+++ b/src/doors/cql/take_in.cpp
@@ -48,6 +48,7 @@
   const Frame& frame;
   const std::string& keyspace;  // the session's
   TimePoint now;
+  const sched::WallClock& wall;
   cql::Asked asked;
   cql::TextRead text;           // of a batch: its first statement
   std::string own;              // the keyspace that bare names stand in
@@ -243,9 +244,9 @@
   a.workload = placed.workload, a.group = placed.group;
   r.taken.mark = exchange::markOf(r.taken.tenant, groups_.id(placed.group), r.told.mark);
   a.giveUpAt = r.now + (r.waitMs ? Span{*r.waitMs * 1000} : placed.timeout ? *placed.timeout : given_.timeout);
-  // Danger: a commit's time is rounded up and may lie ahead of this clock; it is a write all the same.
-  auto since = [&](TimePoint position) { return std::max(Span{1}, r.now - position); };
-  if (r.afterMs) a.sinceWrite = since(TimePoint{*r.afterMs * 1000});
+  // A commit's time is rounded up and may lie ahead of this clock; it is a write all the same.
+  auto since = [&](WallTime position) { return r.now - r.wall.pointOf(position); };
+  if (r.afterMs) a.sinceWrite = since(WallTime{*r.afterMs * 1000});
   if (r.told.pagePosition) {
     Span page = since(*r.told.pagePosition);
     a.sinceWrite = a.sinceWrite ? std::min(*a.sinceWrite, page) : page;
@@ -262,9 +263,9 @@
   r.out.taken = std::move(r.taken);
 }
 
-Outcome TakeIn::read(const Frame& f, const std::string& keyspace, TimePoint now) const {
-  Reading r{.frame = f, .keyspace = keyspace, .now = now, .asked = {}, .text = {}, .own = {}, .told = {}, .page = {},
-            .taken = {}, .waitMs = {}, .afterMs = {}, .out = {}};
+Outcome TakeIn::read(const Frame& f, const std::string& keyspace, TimePoint now, const sched::WallClock& wall) const {
+  Reading r{.frame = f, .keyspace = keyspace, .now = now, .wall = wall, .asked = {}, .text = {}, .own = {},
+            .told = {}, .page = {}, .taken = {}, .waitMs = {}, .afterMs = {}, .out = {}};
   const char* why = "";
   if (!cql::readAsked(f, given_.batchMost, r.asked, why)) {
     r.refuse(cql::kProtocolError, why);
--- a/src/doors/cql/take_in.h
+++ b/src/doors/cql/take_in.h
@@ -13,6 +13,7 @@
 #include "doors/cql/prepared.h"
 #include "doors/cql/system.h"
 #include "exchange/exchange.h"
+#include "sched/wall_clock.h"
 
 namespace reedchute::doors::cql {
 
@@ -61,7 +62,8 @@
          const Chart& chart, PreparedTexts& texts)
       : given_(given), names_(names), groups_(groups), openIds_(openIds), chart_(chart), texts_(texts), system_(given) {}
 
-  Outcome read(const reedchute::cql::Frame& f, const std::string& keyspace, TimePoint now) const;
+  Outcome read(const reedchute::cql::Frame& f, const std::string& keyspace, TimePoint now,
+               const sched::WallClock& wall) const;
 
  private:
   struct Reading;
--- a/src/doors/cql/talk.cpp
+++ b/src/doors/cql/talk.cpp
@@ -98,7 +98,7 @@
     }
   }
 
-  void completed(int ticket, exchange::Answer answer, int by, std::optional<TimePoint> position) override {
+  void completed(int ticket, exchange::Answer answer, int by, std::optional<WallTime> position) override {
     Pending pending = close(ticket);
     auto flags = static_cast<std::uint8_t>(answer.form >> 8);
     auto opcode = static_cast<Opcode>(answer.form & 0xff);
@@ -250,7 +250,7 @@
   }
 
   void ask(const Frame& f) {
-    Outcome o = door_.takeIn.read(f, keyspace_, door_.scheduler.now());
+    Outcome o = door_.takeIn.read(f, keyspace_, door_.scheduler.now(), door_.scheduler.wall());
     if (!o.useKeyspace.empty()) keyspace_ = o.useKeyspace;
     if (!o.taken) return put(0, f.stream, o.opcode, o.body);
     o.taken->speech = door_.speeches[version_ - cql::kLowest];
@@ -269,7 +269,7 @@
 
   // What the client is to see otherwise: a paging state of the front's, an id of the front's.
   std::string rewritten(std::uint8_t flags, std::string bytes, Pending& pending, int by,
-                        std::optional<TimePoint> position) {
+                        std::optional<WallTime> position) {
     Frame f;
     f.version = version_, f.flags = flags, f.opcode = Opcode::result, f.body = bytes;
     cql::Reply r;
--- a/src/doors/pg/carrier.cpp
+++ b/src/doors/pg/carrier.cpp
@@ -126,7 +126,7 @@
   }
   sched::Scheduler& scheduler() { return stores.scheduler(); }
   // A commit's time is rounded up, and clocks are read at different moments: a little ahead is no untruth.
-  TimePoint newest() { return scheduler().now() + stores.limits().connectTimeout; }
+  WallTime newest() { return scheduler().wall().wallOf(scheduler().now()) + stores.limits().connectTimeout; }
 
   sched::Socket socket;
   std::string in;
--- a/src/doors/pg/take_in.cpp
+++ b/src/doors/pg/take_in.cpp
@@ -31,7 +31,8 @@
 
 }  // namespace
 
-std::optional<std::string> TakeIn::read(std::string_view text, TimePoint now, exchange::Taken& taken) const {
+std::optional<std::string> TakeIn::read(std::string_view text, TimePoint now, const sched::WallClock& wall,
+                                        exchange::Taken& taken) const {
   if (text.size() > kMostText) return refusal("54000", "the statement is too long");
   if (text.find('\0') != std::string_view::npos) return refusal("22021", "a zero byte in the statement");
   pg::Fields f;
@@ -63,8 +64,8 @@
   a.giveUpAt = now + Span{*f.waitMs * 1000};
   a.session = sessionOf(f.key);
   a.repeated = f.repeated;
-  // Danger: a commit's time is rounded up and may lie ahead of this clock; it is a write all the same.
-  if (f.afterMs) a.sinceWrite = std::max(Span{1}, now - TimePoint{*f.afterMs * 1000});
+  // A commit's time is rounded up and may lie ahead of this clock; it is a write all the same.
+  if (f.afterMs) a.sinceWrite = now - wall.pointOf(WallTime{*f.afterMs * 1000});
   auto query = std::make_unique<Query>();
   query->text = text;
   query->waitAt = f.waitAt, query->waitSize = f.waitSize;
--- a/src/doors/pg/take_in.h
+++ b/src/doors/pg/take_in.h
@@ -9,6 +9,7 @@
 #include "base/index.h"
 #include "rules.h"
 #include "exchange/exchange.h"
+#include "sched/wall_clock.h"
 #include "terms/terms.h"
 
 namespace reedchute::doors::pg {
@@ -26,7 +27,8 @@
       : names_(names), groups_(groups), openIds_(openIds) {}
 
   // Either fills `taken`, or returns the whole answer that the client gets at once.
-  std::optional<std::string> read(std::string_view text, TimePoint now, exchange::Taken& taken) const;
+  std::optional<std::string> read(std::string_view text, TimePoint now, const sched::WallClock& wall,
+                                  exchange::Taken& taken) const;
 
  private:
   const Names& names_;
--- a/src/doors/pg/talk.cpp
+++ b/src/doors/pg/talk.cpp
@@ -37,7 +37,7 @@
     }
   }
 
-  void completed(int, exchange::Answer answer, int, std::optional<TimePoint>) override {
+  void completed(int, exchange::Answer answer, int, std::optional<WallTime>) override {
     answer.bytes += pg::ready();
     answered(std::move(answer.bytes));
   }
@@ -114,7 +114,7 @@
   void query(std::string_view text) {
     exchange::Taken taken;
     taken.speech = door_.speech;
-    if (auto reply = door_.takeIn.read(text, door_.scheduler.now(), taken))
+    if (auto reply = door_.takeIn.read(text, door_.scheduler.now(), door_.scheduler.wall(), taken))
       line_.say(std::move(*reply));
     else
       stmt_ = door_.desk.admit(std::move(taken), *this, 0);
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -39,7 +39,7 @@
  public:
   virtual ~Asker() = default;
   // `by`: the store that gave the answer, `position` what it says of its data.
-  virtual void completed(int ticket, Answer answer, int by, std::optional<TimePoint> position) = 0;
+  virtual void completed(int ticket, Answer answer, int by, std::optional<WallTime> position) = 0;
   virtual void rejected(int ticket, Span comeBack) = 0;
   virtual void aborted(int ticket) = 0;
 };
@@ -88,6 +88,12 @@
 
 class Carrier;
 
+// A load report as a store words it.
+struct StoreReport {
+  std::optional<WallTime> position;
+  std::optional<bool> primary;
+};
+
 // One message to a store and what came of it: an execution of a statement, or a probe.
 struct Job {
   int stmt = -1;  // -1: a probe
@@ -105,8 +111,8 @@
   Ending ending = Ending::moot;
   Answer answer;  // or an error in its place
   Role role = Role::unknown;
-  std::optional<TimePoint> position;
-  Report report;
+  std::optional<WallTime> position;
+  StoreReport report;
 };
 
 // Whoever gave out the jobs.
--- a/src/exchange/report.cpp
+++ b/src/exchange/report.cpp
@@ -11,8 +11,8 @@
 
 }  // namespace
 
-Report readReport(std::string_view text, TimePoint newest) {
-  Report report;
+StoreReport readReport(std::string_view text, WallTime newest) {
+  StoreReport report;
   while (!text.empty()) {
     std::size_t comma = text.find(',');
     std::string_view pair = text.substr(0, comma);
@@ -24,7 +24,7 @@
     // Danger: a store that has no position yet says 0, and no primary; taken for a report it would hide the
     // one.
     if (pair.substr(0, equals) == "x0" && *value > 0)
-      report.position = TimePoint{static_cast<std::int64_t>(*value * 1e6)};
+      report.position = WallTime{static_cast<std::int64_t>(*value * 1e6)};
     // Danger: a position ahead of the clock would hide every later one, and make stale reads look fresh.
     if (report.position && *report.position > newest) return {};
     if (pair.substr(0, equals) == "x1") report.primary = *value > 0.5;
@@ -36,10 +36,10 @@
   return word == "writer" ? Role::primary : word == "reader" ? Role::replica : Role::unknown;
 }
 
-std::optional<TimePoint> readPosition(std::string_view text, TimePoint newest) {
+std::optional<WallTime> readPosition(std::string_view text, WallTime newest) {
   auto ms = numberIn<double>(text);
   if (!ms || !(*ms > 0) || !(*ms * 1000 <= static_cast<double>(newest.us))) return std::nullopt;
-  return TimePoint{static_cast<std::int64_t>(*ms * 1000)};
+  return WallTime{static_cast<std::int64_t>(*ms * 1000)};
 }
 
 }  // namespace reedchute::exchange
--- a/src/exchange/report.h
+++ b/src/exchange/report.h
@@ -3,17 +3,17 @@
 
 #include <string_view>
 
-#include "rules.h"
+#include "exchange/exchange.h"
 
 namespace reedchute::exchange {
 
 // name=value pairs set apart by commas, as reports come. One whose position lies after `newest` is none.
-Report readReport(std::string_view text, TimePoint newest);
+StoreReport readReport(std::string_view text, WallTime newest);
 
 // A store's word for its role, as it stands beside its answers.
 Role readRole(std::string_view word);
 
 // A position in milliseconds of Unix time; nothing where it is no number, or lies after `newest`.
-std::optional<TimePoint> readPosition(std::string_view text, TimePoint newest);
+std::optional<WallTime> readPosition(std::string_view text, WallTime newest);
 
 }  // namespace reedchute::exchange
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -114,6 +114,7 @@
       told_(scheduler_),
       listed_(scheduler_) {
   route_.list(&list_);
+  scheduler_.onStep(given_.terms.tick, [this](Span ahead) { clockStepped(ahead); });
   if (given_.ledger) {
     ledger_ = std::make_unique<ledger::Feed>(*given_.ledger, given_.names, given_.terms);
     relay_.meter(ledger_.get());
@@ -332,7 +333,7 @@
     e.listed = m.listed;
     e.primary = m.primary;
     e.weight = m.weight;
-    if (m.startedMs > 0) e.started = TimePoint{m.startedMs * 1000};
+    if (m.startedMs > 0) e.started = startOf(e.store, WallTime{m.startedMs * 1000});
     for (const auto& p : protocols_)
       if (auto address = p->addressOf(m))
         for (exchange::Speech speech : p->speeches()) stores_.place(e.store, speech, *address);
@@ -350,6 +351,27 @@
   book_.touch();
 }
 
+// Danger: read anew after the wall clock was set, a start that was told before would pass for another one, and one told
+// since might lie before it. Nothing that is told of has started later than now.
+TimePoint Front::startOf(int store, WallTime told) {
+  Start& known = starts_[store];
+  TimePoint at = std::min(scheduler_.wall().pointOf(told), scheduler_.now());
+  if (told > known.told) known = {told, std::max(at, known.at + Span{1})};
+  return known.at;
+}
+
+// Danger: a read that waits for its connection was found fresh by the clock as it was. It is placed anew.
+void Front::clockStepped(Span ahead) {
+  log::line("clock_step", "ahead_ms=%lld", static_cast<long long>(ahead.us / 1000));
+  rules_.clockStepped(ahead);
+  stores_.recall([&](const exchange::Job& j) {
+    if (j.stmt < 0) return false;
+    Level level = given_.terms.workloads[static_cast<std::size_t>(book_.row(j.stmt).workload)].level;
+    return ahead > Span{} && (level == Level::bounded || level == Level::fresh);
+  });
+  book_.touch();
+}
+
 // Danger: with stores ever new, all that is kept of each would pile up. What is known of one is kept for a while,
 // as the list may drop by mistake what runs on; where a drop doesn't bind, for as long as the front runs.
 void Front::forgetGone() {
@@ -362,6 +384,7 @@
     rules_.left(store, scheduler_.now());
     stores_.forget(store);
     storeIds_.release(store);
+    starts_.erase(store);
     return true;
   });
 }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -51,6 +51,8 @@
   std::size_t sessions() const;
   void tellList(const peers::Roster& roster, bool asked);
   void forgetGone();
+  void clockStepped(Span ahead);
+  TimePoint startOf(int store, WallTime told);
   sched::Task<> watchSignals(int fd);
   sched::Task<> open();
   void reload();
@@ -66,6 +68,11 @@
   sched::Scheduler scheduler_;
   Index<std::string> storeIds_;
   std::map<int, TimePoint> gone_;  // stores that the list has dropped, and since when
+  struct Start {
+    WallTime told;
+    TimePoint at = kNever;
+  };
+  std::map<int, Start> starts_;  // by store: as it was told first, and what it was taken for
   Index<std::int64_t> groups_;
   Rules rules_;
   std::unique_ptr<ledger::Feed> ledger_;
--- a/src/ledger/feed.cpp
+++ b/src/ledger/feed.cpp
@@ -107,7 +107,7 @@
   // Danger: after a machine's death an entry may be there in part; those behind it can't be read either.
   lost_ += ring_->dropUnreadable();
   publish(FeedState::Is::open, found.empty() ? "" : "a torn tail was cut off");
-  TimePoint synced = wall();
+  Span synced = steady();
   // Danger: at the end all that was answered must be on the disk; a disk that takes nothing is not waited for.
   for (bool last = false; !last;) {
     last = ends_;
@@ -117,9 +117,9 @@
         keeper_->drain(*ring_, lost_.load(), wall());
         if (ring_->putTo() <= ring_->goneTo() || ring_->goneTo() == gone) break;
       }
-      if (last || wall() - synced >= given_.sync) {
+      if (last || steady() - synced >= given_.sync) {
         if (keeper_->durable() < keeper_->written()) keeper_->sync();
-        synced = wall();
+        synced = steady();
       }
       written_ = keeper_->written(), durable_ = keeper_->durable();
       publish(FeedState::Is::open, "");
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -22,7 +22,7 @@
 };
 
 std::array<Meter, kEvents> meters;
-TimePoint now_{};
+WallTime now_{};
 
 Meter& meterOf(const char* event) {
   for (Meter& m : meters) {
@@ -41,7 +41,7 @@
     fcntl(2, F_SETFL, fcntl(2, F_GETFL) | O_NONBLOCK);
 }
 
-void clock(TimePoint now) { now_ = now; }
+void clock(WallTime now) { now_ = now; }
 
 void line(const char* event, const char* format, ...) {
   Meter& m = meterOf(event);
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -13,7 +13,7 @@
 void neverBlock();
 
 // The clock that lines are stamped and limited by; set once a round.
-void clock(TimePoint now);
+void clock(WallTime now);
 
 // Writes "<ms> <event> <fields>" to standard error. Of one event only so many lines a second are written;
 // what was left out is counted on the next one. `event` must be a literal: the limit goes by its text.
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -75,6 +75,19 @@
     if (c->store == store) c->retire();
 }
 
+void Stores::recall(const std::function<bool(const Job&)>& which) {
+  for (const std::unique_ptr<Job>& j : jobs_)
+    if (which(*j)) j->sendBy = kNever;
+  std::vector<Job*> waited;
+  for (auto& pools : pools_)
+    for (Pool& p : pools)
+      std::erase_if(p.waiting, [&](Job* j) {
+        if (j->sendBy == kNever) waited.push_back(j);
+        return j->sendBy == kNever;
+      });
+  for (Job* j : waited) finish(j, Ending::moot);
+}
+
 bool Stores::unused(int store) const {
   auto toIt = [&](const auto& one) { return one->store == store; };
   return std::none_of(connections_.begin(), connections_.end(), toIt) &&
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -80,6 +81,8 @@
   void cancel(Job* job);
   // The list says that a store drains or is gone: what still waits for a connection to it is not sent.
   void withdraw(int store);
+  // Of what isn't written yet, these aren't written any more: they end as moot.
+  void recall(const std::function<bool(const Job&)>& which);
   // Closes the idle connections of one store.
   void release(int store);
   std::size_t connections() const { return connections_.size(); }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -861,7 +861,7 @@
   // At the most advanced replica a fresh read is turned away until the log has come; it waits for that.
   if (w.level == Level::fresh && terms_.storesCheck) st.notBefore = now + terms_.tick * 4;
   if (w.level == Level::session && terms_.tokensCarried) {
-    if (a.sinceWrite && *a.sinceWrite > Span{}) st.needs = now - *a.sinceWrite + terms_.tick;
+    if (a.sinceWrite) st.needs = now - *a.sinceWrite + terms_.tick;
   } else if (w.level == Level::session) {
     auto it = sessions_.find(a.session);
     st.needs = it == sessions_.end() ? sessionFloor_ : it->second;
@@ -921,6 +921,19 @@
 
 void Rules::woken() { wakeAt_ = kNever; }
 
+// Danger: of what was read by the clock before and what is read by it now, one is wrong, and together they would
+// prove a stale read fresh. Positions count as the older, what reads in hand need as the later of both readings;
+// last commits, which are compared with positions alone, move with the clock.
+void Rules::clockStepped(Span ahead) {
+  Span older = std::max(ahead, Span{}), later = older - ahead;
+  for (auto* known : {&stores_.position, &stores_.reported})
+    for (TimePoint& at : *known) at = at > kNever ? at - older : at;
+  for (int stmt : open_)
+    if (TimePoint& needs = stmts_[stmt].needs; needs > kNever) needs = needs + later;
+  for (auto& known : sessions_) known.second = known.second - ahead;
+  if (sessionFloor_ > kNever) sessionFloor_ = sessionFloor_ - ahead;
+}
+
 void Rules::decide(TimePoint now, Writer& out) {
   if (terms_.mustAsk && askAt_ > kNever && askAt_ <= now) askAt_ = kNever, out.watchList();
   for (std::size_t s = 0; s < stores_.group.size(); ++s) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -242,6 +242,8 @@
   void gone(int stmt);
   void probed(int store, bool ok, const Report& report, TimePoint now);
   void woken();
+  // The clock that positions are told in was set ahead by this, or below zero back.
+  void clockStepped(Span ahead);
   // Of a zone's usual traffic, how much this front is to bring its replicas, and may it try those found away?
   // Where nobody says so, all and yes. It is one more factor in the weight, and no word on freshness; writes
   // follow their primary. From none to some: all its stores count as started just now.
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -1,7 +1,6 @@
 #include "sched/scheduler.h"
 
 #include <sys/epoll.h>
-#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -60,14 +59,14 @@
 }
 
 TimePoint Scheduler::instant() const {
-  timespec t{};
-  clock_gettime(CLOCK_REALTIME, &t);
-  return std::max(now_, TimePoint{t.tv_sec * 1'000'000LL + t.tv_nsec / 1000});
+  return std::max(now_, monotonicNow());
 }
 
 void Scheduler::readClock() {
-  now_ = instant();
-  log::clock(now_);
+  now_ = std::max(now_, wall_.look());
+  log::clock(wall_.wallOf(now_));
+  if (!stepped_) return;
+  if (Span ahead = wall_.stepped(leastStep_); ahead != Span{}) stepped_(ahead);
 }
 
 void Scheduler::spawn(Task<> task) {
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -12,6 +12,7 @@
 
 #include "base/time.h"
 #include "sched/task.h"
+#include "sched/wall_clock.h"
 
 namespace reedchute::sched {
 
@@ -25,10 +26,15 @@
   Scheduler(const Scheduler&) = delete;
   Scheduler& operator=(const Scheduler&) = delete;
 
-  // The time of this round: Unix time in microseconds, never earlier than that of the last.
+  // The time of this round, by the monotonic clock.
   TimePoint now() const { return now_; }
   // The same clock read at this instant: where a round may have been held up and what follows must not be late.
   TimePoint instant() const;
+  // Moments of the wall clock, as it stood when this round began.
+  const WallClock& wall() const { return wall_; }
+  // Told at the beginning of a round, before anything that it woke runs, when the wall clock has been set by `least` or
+  // more since: by how much ahead, or below zero back.
+  void onStep(Span least, std::function<void(Span)> tell) { leastStep_ = least, stepped_ = std::move(tell); }
 
   // Starts a coroutine that nobody awaits, after the caller gives up the thread.
   void spawn(Task<> task);
@@ -55,7 +61,10 @@
   Root runRoot(Task<> task);
 
   int epoll_ = -1;
+  WallClock wall_;
   TimePoint now_;
+  Span leastStep_;
+  std::function<void(Span)> stepped_;
   bool stopped_ = false, again_ = false, coarse_ = false;
   std::deque<std::coroutine_handle<>> ready_;
   Timers timers_;
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -65,10 +65,15 @@
 void Book::ended(exchange::Job& job) {
   touch();
   TimePoint now = scheduler_.now();
+  auto pointOf = [&](std::optional<WallTime> position) -> std::optional<TimePoint> {
+    if (!position) return std::nullopt;
+    return scheduler_.wall().pointOf(*position);
+  };
+  Report report{pointOf(job.report.position), job.report.primary};
   if (job.stmt < 0) {
     // Danger: a store whose answer can't be read has answered; it is not away.
     bool answered = job.ending == Ending::ok || job.ending == Ending::spoilt || job.ending == Ending::invalid;
-    rules_.probed(job.store, answered, job.report, now);
+    rules_.probed(job.store, answered, report, now);
     return;
   }
   Statement& st = row(job.stmt);
@@ -80,8 +85,8 @@
   r.execution = job.execution;
   r.ending = job.ending;
   r.role = job.role;
-  r.position = job.position;
-  r.report = job.report;
+  r.position = pointOf(job.position);
+  r.report = report;
   r.took = now - job.begun;
   r.closed = completes || !st.open;
   rules_.resolved(job.stmt, r, now);
--- a/src/wire/adapter.cpp
+++ b/src/wire/adapter.cpp
@@ -295,7 +295,7 @@
   if (in.stmts.find(id) >= 0) throw Malformed("a statement came in twice: " + std::to_string(id));
   Arrival a;
   line_.maybeNumber(3, "expected");
-  if (auto ms = line_.maybeNumber(4, "last_write_ms"))
+  if (auto ms = line_.maybeNumber(4, "last_write_ms"); ms && *ms > 0)
     a.sinceWrite = Span{static_cast<std::int64_t>(*ms * 1000)};
   a.workload = placeOf(in.names.workloads, line_.raw(5));
   if (a.workload < 0) throw Malformed("unknown lane '" + std::string(line_.raw(5)) + "'");
--- /dev/null
+++ b/tests/clock.cpp
@@ -0,0 +1,178 @@
+// A front whose wall clock is set while it runs, ahead and back. It is set while the front stands still, so
+// that it finds the step together with what came meanwhile. Loaded into the front: tests/shifted_clock.cpp.
+#include <sys/mman.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "pg_client.h"
+#include "trace.h"
+
+using namespace reedchute;
+using test::Case;
+using test::Client;
+using test::Drive;
+using test::edits;
+using test::runCase;
+
+namespace {
+
+const char* library = nullptr;
+constexpr Span kMinute{60'000'000};
+
+const char* yes(bool so) { return so ? "yes" : "no"; }
+
+// The front's wall clock, as far ahead of ours as is said; to be made before the front is.
+class FrontClock {
+ public:
+  explicit FrontClock(Span ahead = {}) {
+    int fd = mkstemp(path_);
+    if (fd < 0 || ftruncate(fd, sizeof(std::int64_t)) < 0) throw std::runtime_error("no temporary file");
+    void* map = mmap(nullptr, sizeof(std::int64_t), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+    close(fd);
+    if (map == MAP_FAILED) throw std::runtime_error("the file can't be mapped");
+    shift_ = static_cast<std::atomic<std::int64_t>*>(map);
+    shift_->store(ahead.us);
+    setenv("SHIFTED_CLOCK", path_, 1);
+    setenv("LD_PRELOAD", library, 1);
+    // ASan asks to be the first that is loaded; nothing of its own is replaced here.
+    const char* had = std::getenv("ASAN_OPTIONS");
+    setenv("ASAN_OPTIONS", ((had ? std::string(had) + ":" : "") + "verify_asan_link_order=0").c_str(), 1);
+  }
+  ~FrontClock() {
+    unsetenv("LD_PRELOAD");
+    munmap(shift_, sizeof(std::int64_t));
+    unlink(path_);
+  }
+  // Set while the front stands still; `meanwhile` is what else it finds when it goes on.
+  void set(
+      Drive& d, Span ahead, const std::function<void()>& meanwhile = [] {}) {
+    d.stop();
+    shift_->store(ahead.us);
+    meanwhile();
+    d.goOn();
+  }
+
+ private:
+  char path_[32] = "/tmp/reedchute-clock-XXXXXX";
+  std::atomic<std::int64_t>* shift_;
+};
+
+// The front, its clock and one client; statements are told by the stores that they reached.
+struct Stage {
+  explicit Stage(Span ahead = {}) : clock(ahead) {}
+  void asks(const char* what, const std::string& text) {
+    told(what, [&] { return c.ask(text); });
+  }
+  void told(const char* what, const std::function<std::string()>& ask) {
+    std::vector<int> before{d.toy.executions(0), d.toy.executions(1)};
+    std::string got = ask();
+    std::printf("%s: %s; %d sent to the primary, %d to the replica\n", what, got.c_str(),
+                d.toy.executions(0) - before[0], d.toy.executions(1) - before[1]);
+  }
+  void stepIsLogged() {
+    std::printf("the step is logged: %s\n",
+                yes(d.until("it is", [&] { return d.logged(" clock_step ahead_ms="); })));
+  }
+
+  FrontClock clock;
+  Drive d{2};
+  Client c{d};
+};
+
+// Set ahead by a minute under a statement that is out: it goes on, and so does what comes after it.
+void clockAhead() {
+  Stage s;
+  int before = s.d.sent;
+  s.c.send(pg::query(Client::write("slow100-ok")));
+  s.d.until("a store sees it", [&] { return s.d.sent > before; });
+  s.clock.set(s.d, kMinute);
+  std::printf("a write that was out: %s\n", s.c.get().c_str());
+  s.asks("the next one", Client::write("a"));
+  s.stepIsLogged();
+}
+
+// Set back by a minute under one that is never answered: its time ends all the same, and timers go on.
+void clockBack() {
+  Stage s(kMinute);
+  s.d.toy.kill(0), s.d.toy.revive(0);  // a minute ago, by the front's clock
+  s.d.until("its start is told", [&] { return s.d.logged(" started_ms=1"); });
+  int before = s.d.sent;
+  s.c.send(pg::query(Client::read("silent", 400)));
+  s.d.until("a store sees it", [&] { return s.d.sent > before; });
+  TimePoint asked = s.d.s.now();
+  s.clock.set(s.d, Span{});
+  std::string got = s.c.get();
+  std::printf("a read that nobody answers: %s; within its time: %s\n", got.c_str(),
+              yes(s.d.s.now() - asked < Span{600'000}));
+  s.asks("the next one", Client::write("a"));
+  // The list says once more when the stores started; by the clock as it is now that was a moment ago.
+  s.d.toy.setState(0, "up"), s.d.toy.setState(1, "draining");
+  s.d.until("the list is told", [&] { return s.d.logged("state=draining"); });
+  s.asks("after a list", Client::write("a", 300));
+  s.stepIsLogged();
+}
+
+// A replica that was found fresh by the clock as it was isn't any more once it is set ahead, nor for a read
+// that waits for its connection.
+void clockStale() {
+  auto near = [] { return Client::read("b", 3000, "near"); };
+  Stage s;
+  s.asks("a bounded read", near());
+  s.told("one that comes as the clock is set ahead", [&] {
+    s.clock.set(s.d, kMinute, [&] { s.c.send(pg::query(near())); });
+    return s.c.get();
+  });
+  s.stepIsLogged();
+
+  Stage waits;
+  waits.asks("a bounded read", near());
+  waits.d.toy.hold(1, true), waits.d.toy.closeIdle(1);
+  waits.d.until("none is open", [&] { return waits.d.toy.connections(1) == 0; });
+  waits.told("one whose connection comes up as the clock is set ahead", [&] {
+    waits.c.send(pg::query(near()));
+    waits.d.until("the connection is dialled", [&] { return waits.d.toy.holdsBack(1); });
+    waits.clock.set(waits.d, kMinute, [&] { waits.d.toy.hold(1, false); });
+    return waits.c.get();
+  });
+}
+
+// A session's last commit that was noted while the clock was ahead is no older for that, once it is set
+// right.
+void clockSessions() {
+  edits = {{"\"eventual\"", "\"causal\""},
+           {"\"lag_allowed\":[0,20000000", "\"lag_allowed\":[0,6000000"},
+           {"\"brought\"", "\"none\""}};
+  Stage s;
+  s.asks("a bounded read", Client::read("b", 3000, "near"));
+  s.clock.set(s.d, kMinute);
+  s.asks("a write of the session", Client::write("a"));
+  s.d.toy.lag(1, Span{5'000'000});
+  s.clock.set(s.d, Span{});
+  int had = s.d.toy.executions(1);
+  s.d.until("the replica is found fresh", [&] {
+    s.c.ask(Client::read("b", 3000, "near"));
+    return s.d.toy.executions(1) > had;
+  });
+  s.asks("a read of the session, the replica being older", Client::read("a"));
+  s.stepIsLogged();
+}
+
+const Case kCases[] = {{"clockAhead", clockAhead},
+                       {"clockBack", clockBack},
+                       {"clockStale", clockStale},
+                       {"clockSessions", clockSessions}};
+
+}  // namespace
+
+// clock PROGRAM LIBRARY CASE
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  if (argc > 2) test::program = argv[1], library = argv[2];
+  return runCase(kCases, argc - 2, argv + 2);
+}
--- a/tests/cql_units.cpp
+++ b/tests/cql_units.cpp
@@ -72,7 +72,7 @@
     tell("at QUORUM", read);
     read.nextPage = true;
     tell("its next page, position unknown", read);
-    read.pagePosition = TimePoint{5};
+    read.pagePosition = WallTime{5};
     tell("its next page", read);
     read.workload = "mine", read.group = 8;
     tell("named by its payload", read);
@@ -190,7 +190,7 @@
 }
 
 void pages() {
-  Page p{storeMark("s-1"), TimePoint{1'700'000'000'000'000}, "state"};
+  Page p{storeMark("s-1"), WallTime{1'700'000'000'000'000}, "state"};
   std::string bytes = wrapped(p);
   auto back = unwrapped(bytes);
   std::printf("%zu bytes; back: %d, the same store %d, position %d, '%s'\n", bytes.size(), back.has_value(),
@@ -225,6 +225,7 @@
   texts.keep(known);
   TakeIn takeIn(g, kNames, groups, open, c, texts);
   TimePoint now{1'000'000'000'000};
+  sched::WallClock wall(Span{});
   using reedchute::cql::Opcode;
   auto ask = [&](const char* what, Opcode o, const std::string& body, const reedchute::cql::BytesMap& payload = {},
                  const std::string& keyspace = "") {
@@ -233,7 +234,7 @@
     whole += body;
     reedchute::cql::Frame f;
     f.version = 4, f.opcode = o, f.body = whole, f.flags = payload.empty() ? 0 : reedchute::cql::kPayload;
-    Outcome out = takeIn.read(f, keyspace, now);
+    Outcome out = takeIn.read(f, keyspace, now, wall);
     std::printf("%s: ", what);
     if (!out.taken) {
       std::string shown = out.body.substr(0, 120);
--- a/tests/parsers.cpp
+++ b/tests/parsers.cpp
@@ -219,7 +219,7 @@
   tell("a parameter", pg::parameter("usage", "x0=1"));
   tell("a parameter without a value", pg::message('S', std::string("usage\0", 6)));
   for (const char* text : {"x0=5,x1=1", "x0=nan,x1=1", "x0=inf", "x0=-3,x1=0", "x0=1e300", "x0=11,x1=1", "noise", "x0=,=5,,"}) {
-    Report r = exchange::readReport(text, TimePoint{10'000'000});
+    exchange::StoreReport r = exchange::readReport(text, WallTime{10'000'000});
     std::printf("report '%s': position %lld, primary %d\n", text,
                 r.position ? static_cast<long long>(r.position->us / 1000) : -1LL, r.primary ? *r.primary : -1);
   }
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -936,6 +936,42 @@
   b.round();
 }
 
+// What was read by a clock before it was set and what is read by it since, told by who gets the reads.
+void clockSteps() {
+  for (double ahead : {150.0, -150.0}) {
+    Terms t = Bench::terms({kBounded, kSession, kWrite});
+    t.tokensCarried = false;
+    Bench b(t);
+    b.list(2);
+    b.report(1, 60);
+    b.note("a bounded read; the primary commits for a session 30 ms later");
+    b.arrive(0);
+    int write = b.arrive(2);
+    b.round();
+    b.answer(write, Ending::ok, Role::primary, 0, 30);
+    b.note(ahead > 0 ? "set ahead by 150 ms: the replica's position counts as older, and the session's commit with it"
+                     : "set back by 150 ms: the position stays as it was, the commit is later by all of it");
+    b.rules.clockStepped(ms(ahead));
+    b.arrive(0), b.arrive(1);
+    b.round();
+    b.note("a report of before the commit, and one of after it, by the clock as it is now");
+    for (double behind : {30.0, -30.0}) {
+      b.report(1, ahead + 30 + behind);
+      b.arrive(1);
+      b.round();
+    }
+  }
+  Bench b(Bench::terms({kFresh}));
+  b.list(2, -1);
+  b.arrive(0);
+  b.round();
+  b.note("a fresh read waits as the clock is set back by 150 ms: a report of before it came");
+  b.rules.clockStepped(ms(-150));
+  b.report(1, -140), b.round();
+  b.note("and one of after");
+  b.report(1, -160), b.round();
+}
+
 // Danger: a primary that was cut off for a while, taken for cold, would leave writes waiting for a warm-up.
 void cutOff() {
   for (bool primary : {true, false}) {
@@ -1066,7 +1102,8 @@
     {"paceReturns", paceReturns}, {"coldPrimary", coldPrimary}, {"firstReads", firstReads},
     {"looks", looks}, {"primaryFirst", primaryFirst}, {"zoneDoubt", zoneDoubt}, {"coldSum", coldSum}, {"zoneShares", zoneShares}, {"hostsShared", hostsShared}, {"jammedPrimary", jammedPrimary}, {"searchInVain", searchInVain},
     {"othersKeep", othersKeep}, {"primaryReturns", primaryReturns},
-    {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"places", places}, {"oneInVain", oneInVain}, {"oneConnection", oneConnection}, {"sendBy", sendBy}, {"cutOff", cutOff},
+    {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"places", places}, {"oneInVain", oneInVain}, {"oneConnection", oneConnection}, {"sendBy", sendBy},
+                       {"clockSteps", clockSteps}, {"cutOff", cutOff},
 };
 
 }  // namespace
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -62,8 +62,9 @@
   int arrive(int workload, double patience = 2000, double sinceWrite = 0, bool repeated = false,
              int tenant = 0) {
     Arrival a;
-    a.workload = workload, a.group = 0, a.giveUpAt = clock + ms(patience), a.sinceWrite = ms(sinceWrite);
-    a.repeated = repeated, a.tenant = tenant;
+    a.workload = workload, a.group = 0, a.giveUpAt = clock + ms(patience), a.repeated = repeated;
+    if (sinceWrite > 0) a.sinceWrite = ms(sinceWrite);
+    a.tenant = tenant;
     rules.arrived(next_, a, clock);
     return next_++;
   }
