--- a/src/doors/pg/talk.cpp
+++ b/src/doors/pg/talk.cpp
@@ -51,7 +51,7 @@
     }
   }
 
-  void completed(int ticket, exchange::Answer answer, int, std::optional<TimePoint>) override {
+  void completed(int ticket, exchange::Answer answer, int, std::optional<WallTime>) override {
     answer.bytes += pg::ready();
     answered(ticket, std::move(answer.bytes));
   }
@@ -161,7 +161,7 @@
     exchange::Taken taken;
     taken.speech = door_.speech;
     taken.came = came;
-    if (auto reply = door_.takeIn.read(text, door_.scheduler.now(), taken)) return say(std::move(*reply));
+    if (auto reply = door_.takeIn.read(text, door_.scheduler.now(), door_.scheduler.wall(), taken)) return say(std::move(*reply));
     bool write = door_.takeIn.writes(taken.arrival.workload);
     // Danger: a read that overtakes the write before it would not see it, nor a write the one before it.
     waits_ = std::any_of(replies_.begin(), replies_.end(), [&](const Reply& r) { return write || r.write; });
--- a/tests/pipeline.cpp
+++ b/tests/pipeline.cpp
@@ -77,9 +77,10 @@
   Drive d(2);
   Client c(d);
   int before = d.sent;
-  c.send(pg::query(Client::read("slow300")) + pg::query(Client::read("b")) + pg::query("") +
+  c.send(pg::query(Client::read("slow1000")) + pg::query(Client::read("b")) + pg::query("") +
          pg::query(Client::read("c")));
   d.until("all are sent", [&] { return d.sent >= before + 3; });
+  c.socket->read(c.in, 1 << 20);
   std::printf("before the first is answered: %zu bytes came\n", c.in.size());
   std::printf("then: %s\n", c.get(4).c_str());
   before = d.sent;
