A property test of freshness: seeded worlds against an oracle of the true state

Stores with true positions and roles that crash, come back, are promoted, cut off or forgotten; late lists, reports, answers and reads of them; connections that come up late. The oracle judges each read as its last byte leaves and shares nothing with the module but its interface.

--- /dev/null
+++ b/tests/freshness.cpp
@@ -0,0 +1,631 @@
+// Does the module ever send a read to a store whose data is too old? Small seeded worlds of stores, a list,
+// links and a front that is at times slow play random orders of events against it; an oracle that knows the
+// true state of each store judges every read as its last byte leaves. It shares nothing with the module but
+// its interface.
+//
+//   freshness [FIRST [COUNT]]       plays so many seeds; prints the first that breaks the rule, and how
+//   freshness --all FIRST COUNT     prints all that do
+//   freshness --finds FIRST COUNT   the other way round, for a module with a planted fault: good once it is
+//   found freshness --show SEED           prints all that happens
+//
+// The rule, from the protocol: a bounded read's data is no older than its bound as the read leaves, a session
+// read's has the session's last commit, a fresh read's all that was committed before it arrived. A store that
+// has been primary is excused until an answer has told since that it is none; on sockets that counts 100 ms
+// after it was written, read or not, else from the next batch on.
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "rules.h"
+
+using namespace reedchute;
+
+namespace {
+
+constexpr Span ms(double n) { return Span{static_cast<std::int64_t>(n * 1000)}; }
+constexpr TimePoint kBegin{1'000'000'000};
+constexpr Span kDay = ms(2500);
+constexpr Span kTick = ms(5), kConnect = ms(250), kReports = ms(80);
+constexpr Span kKnownAfter = ms(95);  // of arrival; it was written a little earlier
+enum Kind { kAny, kNear, kFar, kSession, kFresh, kWrite, kKinds };
+
+struct Tally {
+  long seeds = 0, atReplica[kKinds] = {}, atPrimary[kKinds] = {}, excused = 0, late = 0, told = 0,
+       forgotten = 0;
+};
+
+class World : public Writer {
+ public:
+  World(std::uint64_t seed, Tally& tally, bool show)
+      : chance_(seed), tally_(tally), show_(show), rules_(terms(seed), kBegin) {}
+
+  // True where no read broke the rule.
+  bool play() {
+    begin();
+    while (!events_.empty() && broken_.empty()) {
+      Event e = std::move(const_cast<Event&>(events_.top()));
+      events_.pop();
+      if (e.at > kBegin + kDay) break;
+      now_ = e.at;
+      for (Store& s : stores_) advance(s);
+      e.run();
+    }
+    return broken_.empty();
+  }
+  const std::string& broken() const { return broken_; }
+
+ private:
+  // ---- the true state ----
+  struct Store {
+    int group = 0;
+    bool up = true, linked = true;         // `linked`: with the front
+    bool primary = false, claims = false;  // `claims`: it takes itself for the primary
+    bool was = false;                      // primary at some time
+    bool shown = false;                    // by the list, where that shows roles as at the start
+    bool gone = false;                     // from the list
+    TimePoint position;
+    double rate = 1;            // at which its log comes in
+    Span behind{};              // at the best
+    TimePoint moved;            // its position is of that moment
+    TimePoint said = kNever;    // the highest position that it has told
+    TimePoint lost = kNever;    // the role
+    TimePoint told = kForever;  // since then the front counts as told that it is none
+    TimePoint started = kNever;
+    int life = 0;
+    Report report;
+    TimePoint reportMade;
+    std::vector<std::function<void()>> held;  // answers behind a cut link
+  };
+  struct Stmt {
+    int kind = 0;
+    bool open = true;
+    TimePoint needs = kNever, giveUpAt;
+    std::uint64_t session = 0;
+    std::vector<int> jobs;
+  };
+  struct Job {
+    int stmt = -1, execution = -1, store = -1, life = 0;
+    TimePoint stopAt, sendBy = kForever;
+    bool left = false, done = false, cancelled = false;
+  };
+  struct Fact {
+    int job = -1;
+    Ending ending = Ending::ok;
+    Role role = Role::unknown;
+    std::optional<TimePoint> position, commit;
+    Report report;
+    TimePoint tells = kNever;  // when it was written, where that says that its store is no primary
+  };
+  struct Event {
+    TimePoint at;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator<(const Event& o) const { return std::pair(o.at, o.order) < std::pair(at, order); }
+  };
+
+  std::uint64_t below(std::uint64_t n) { return chance_() % n; }
+  bool chance(int percent) { return below(100) < static_cast<std::uint64_t>(percent); }
+  Span between(double least, double most) {
+    return ms(least + (most - least) * static_cast<double>(below(10'001)) / 10'000);
+  }
+  void after(Span wait, std::function<void()> run) { at(now_ + wait, std::move(run)); }
+  void at(TimePoint when, std::function<void()> run) {
+    events_.push({std::max(when, now_), order_++, std::move(run)});
+  }
+  template <class... Values>
+  void say(const char* format, Values... values) {
+    if (!show_) return;
+    std::printf("%9.3f ", (now_ - kBegin).seconds() * 1000);
+    std::printf(format, values...);
+    std::printf("\n");
+  }
+
+  Terms terms(std::uint64_t seed) {
+    Terms t;
+    t.seed = seed, t.tick = kTick, t.fronts = chance(30) ? 100 : 2, t.maxExecutions = 6;
+    t.workloads.resize(kKinds);
+    for (Workload& w : t.workloads) w.slo = ms(400), w.effect = Effect::idempotent, w.lateShare = 0.6;
+    t.workloads[kNear].level = t.workloads[kFar].level = Level::bounded;
+    t.workloads[kNear].bound = ms(200), t.workloads[kFar].bound = ms(450);
+    t.workloads[kSession].level = Level::session, t.workloads[kFresh].level = Level::fresh;
+    t.workloads[kWrite].level = Level::write, t.workloads[kWrite].effect = Effect::deduplicated;
+    t.workloads[kWrite].window = ms(1000);
+    t.secondCopies = chance(60), t.mayCancel = chance(80), t.mayProbe = chance(85);
+    t.roleFollows = chance(50), t.tokensCarried = chance(50);
+    t.connectTimeout = kConnect, t.askEvery = ms(10'000), t.drainGrace = ms(500);
+    t.coldRamp = ms(chance(50) ? 200 : 3000), t.coldWindow = ms(1000), t.coldFrom = 0.5, t.coldMultiple = 2.5;
+    sockets_ = chance(70);
+    follows_ = t.roleFollows, carried_ = t.tokensCarried, cancels_ = t.mayCancel;
+    return t;
+  }
+
+  void advance(Store& s) {
+    Span passed = now_ - s.moved;
+    s.moved = now_;
+    if (s.primary)
+      s.position = now_;
+    else if (s.up)
+      s.position = std::max(s.position, std::min(s.position + passed * s.rate, now_ - s.behind));
+  }
+  int primaryOf(int group) const {
+    for (std::size_t s = 0; s < stores_.size(); ++s)
+      if (stores_[s].group == group && stores_[s].primary) return static_cast<int>(s);
+    return -1;
+  }
+  void gains(int s) {
+    Store& store = stores_[s];
+    store.primary = store.claims = store.was = true, store.told = kForever, store.position = now_;
+    say("store %d is primary", s);
+    listLater(s, true);
+  }
+  void loses(int s, bool claims) {
+    Store& store = stores_[s];
+    store.primary = false, store.claims = claims, store.lost = now_, store.told = kForever;
+    store.rate = claims ? 0 : pace(), store.behind = between(1, 60);
+    say("store %d is primary no more%s", s, claims ? ", and doesn't know" : "");
+    listLater(s, true);
+  }
+  double pace() { return chance(40) ? 0 : chance(50) ? 0.5 : 2; }
+  void promoteOne(int group) {
+    if (primaryOf(group) >= 0) return;
+    std::vector<int> able;
+    for (std::size_t s = 0; s < stores_.size(); ++s)
+      if (stores_[s].group == group && stores_[s].up && !stores_[s].claims && !stores_[s].gone)
+        able.push_back(static_cast<int>(s));
+    if (!able.empty()) gains(able[below(able.size())]);
+  }
+
+  void begin() {
+    int groups = 1 + static_cast<int>(below(2)), each = 3 + static_cast<int>(below(2));
+    now_ = kBegin;
+    rules_.listBegins(true);
+    for (int s = 0; s < groups * each; ++s) {
+      Store store;
+      store.group = s / each, store.position = now_ - between(5, 700), store.moved = now_;
+      store.rate = pace(), store.behind = between(1, 60);
+      store.shown = s % each == 0;
+      if (store.shown) store.primary = store.claims = store.was = true, store.position = now_;
+      stores_.push_back(store);
+      // Some fronts start when the role that the list shows has been lost already.
+      if (store.shown && chance(20)) loses(s, false);
+      tellEntry(s);
+      after(between(0, 80), [this, s] { makeReport(s); });
+    }
+    rules_.listEnds(true);
+    for (int g = 0; g < groups; ++g) promoteOne(g);
+    after(between(0, 5), [this] { clientAsks(); });
+    after(between(10, 200), [this] { trouble(); });
+    after(Span{}, [this] { wantRound(); });
+  }
+
+  // ---- troubles ----
+  void trouble() {
+    after(between(20, 250), [this] { trouble(); });
+    int s = static_cast<int>(below(stores_.size()));
+    int p = primaryOf(stores_[s].group);
+    if (p >= 0 && chance(40)) s = p;
+    Store& store = stores_[s];
+    switch (below(8)) {
+      case 0:
+        if (store.up) crash(s);
+        break;
+      case 1:  // the role moves on, and nothing else happens
+        if (!store.primary) break;
+        loses(s, false);
+        promoteOne(store.group);
+        break;
+      case 2:  // cut off from the others, not from the front: it goes on answering as primary
+        if (!store.primary) break;
+        loses(s, true);
+        promoteOne(store.group);
+        after(between(50, 900), [this, s, life = store.life] {
+          if (stores_[s].life == life && !stores_[s].primary)
+            stores_[s].claims = false, stores_[s].rate = pace();
+        });
+        break;
+      case 3:
+        cut(s);
+        break;
+      case 4:
+      case 5:
+        if (!store.primary && !store.claims) store.rate = pace(), store.behind = between(1, 120);
+        break;
+      case 6:
+        listLater(s, false);
+        break;
+      default:
+        leave(s);
+    }
+  }
+  void crash(int s) {
+    Store& store = stores_[s];
+    bool was = store.primary;
+    if (was) loses(s, false);
+    store.up = false, ++store.life, store.claims = false;
+    say("store %d crashes", s);
+    for (std::size_t j = 0; j < jobs_.size(); ++j)
+      if (jobs_[j].store == s && jobs_[j].left && !jobs_[j].done)
+        arrives(static_cast<int>(j), Ending::reset, between(0.2, 3));
+    store.held.clear();
+    int g = store.group;
+    if (was && chance(80)) after(between(20, 500), [this, g] { promoteOne(g); });
+    if (chance(40)) listLater(s, true);
+    after(between(20, 900), [this, s, g] {
+      Store& back = stores_[s];
+      if (back.up || back.gone) return;
+      back.up = true, back.started = now_, back.moved = now_;
+      // What it had not told yet may be lost.
+      back.position = std::max(back.said, back.position - between(0, 40));
+      back.rate = pace(), back.behind = between(1, 60);
+      say("store %d is back", s);
+      if (primaryOf(g) < 0) gains(s);
+      makeSnapshot(s);
+      listLater(s, true);
+    });
+  }
+  void cut(int s) {
+    Store& store = stores_[s];
+    if (!store.linked) return;
+    store.linked = false;
+    say("store %d is cut off", s);
+    if (store.primary && chance(60)) loses(s, chance(50)), promoteOne(store.group);
+    after(between(30, 900), [this, s] {
+      Store& back = stores_[s];
+      back.linked = true;
+      if (back.claims && !back.primary) back.claims = false, back.rate = pace();
+      say("store %d is linked again", s);
+      for (auto& run : std::exchange(back.held, {})) after(between(0.2, 40), run);
+    });
+  }
+  // It is gone from the list for long; its row in the module is another's from then on, or its own again.
+  void leave(int s) {
+    Store& store = stores_[s];
+    if (!store.up || store.primary || store.claims || store.gone || now_ < busy_) return;
+    tellEntry(s, Listed::gone);
+    store.gone = true;
+    after(between(50, 400), [this, s] { forget(s); });
+  }
+  void forget(int s) {
+    Store& store = stores_[s];
+    bool busy = now_ < busy_;
+    for (const Job& j : jobs_) busy |= j.store == s && (!j.done || (j.stmt >= 0 && stmts_[j.stmt].open));
+    for (const Fact& f : inbox_) busy |= jobs_[f.job].store == s;
+    if (busy) return after(ms(20), [this, s] { forget(s); });
+    say("store %d is forgotten", s);
+    ++tally_.forgotten;
+    rules_.left(s, now_);
+    if (chance(50)) {
+      store.was = store.shown = false, store.said = store.lost = store.started = kNever, ++store.life;
+      store.position = now_ - between(5, 700), store.told = kForever;
+      makeSnapshot(s);
+    }
+    after(between(1, 100), [this, s] {
+      stores_[s].gone = false;
+      tellEntry(s);
+      wantRound();
+    });
+  }
+
+  // ---- the list ----
+  void tellEntry(int s, Listed listed = Listed::up) {
+    const Store& store = stores_[s];
+    if (store.gone) return;
+    Entry e;
+    e.store = s, e.group = store.group, e.zone = 0, e.primary = follows_ ? store.primary : store.shown;
+    if (store.started > kNever) e.started = store.started;
+    e.listed = !store.up && chance(50) ? Listed::gone : listed;
+    say("listed: %d, primary %d, listed %d, started %.3f", s, e.primary, static_cast<int>(e.listed),
+        e.started ? (*e.started - kBegin).seconds() * 1000 : 0);
+    rules_.entry(e, now_);
+  }
+  // What it says may be old when it comes.
+  void listLater(int s, bool prompt) {
+    after(between(0, prompt ? 1500 : 300), [this, s] {
+      if (now_ < busy_) return listLater(s, false);
+      rules_.listBegins(false);
+      tellEntry(s);
+      rules_.listEnds(true);
+      wantRound();
+    });
+  }
+
+  // ---- reports ----
+  void makeSnapshot(int s) {
+    Store& store = stores_[s];
+    store.report = {store.position, store.claims}, store.reportMade = now_;
+    // A report may claim the role untruly.
+    if (!store.claims && chance(3)) store.report.primary = true;
+  }
+  void makeReport(int s) {
+    if (stores_[s].up) makeSnapshot(s);
+    after(kReports, [this, s] { makeReport(s); });
+  }
+
+  // ---- clients ----
+  void clientAsks() {
+    after(between(1, 25), [this] { clientAsks(); });
+    waiting_.push_back(static_cast<int>(below(kKinds)));
+    wantRound();
+  }
+  void admit(int kind) {
+    Arrival a;
+    Stmt st;
+    st.kind = kind, st.giveUpAt = now_ + between(60, 1500), st.session = 1 + below(6);
+    int groups = stores_.back().group + 1;
+    a.workload = kind, a.group = static_cast<int>(st.session) % groups, a.giveUpAt = st.giveUpAt;
+    a.session = st.session, a.repeated = chance(10);
+    if (kind == kFresh) st.needs = now_;
+    if (kind == kSession && carried_) {
+      // Its last write may have been anybody's; the token is the commit's time in ms, rounded up.
+      TimePoint commit = chance(30) ? now_ - between(0, 900) : commits_[st.session];
+      if (commit > kNever) {
+        TimePoint token{(commit.us + 999) / 1000 * 1000};
+        a.sinceWrite = std::max(Span{1}, now_ - token);
+        st.needs = commit;
+      }
+    } else if (kind == kSession) {
+      st.needs = commits_[st.session];
+    }
+    int stmt = static_cast<int>(stmts_.size());
+    stmts_.push_back(st);
+    rules_.arrived(stmt, a, now_);
+  }
+
+  // ---- the front ----
+  void wantRound() {
+    if (std::exchange(roundDue_, true)) return;
+    at(busy_, [this] { round(); });
+  }
+  void round() {
+    if (now_ < busy_) return at(busy_, [this] { round(); });
+    roundDue_ = false;
+    ++rounds_;
+    // In one pass nothing says which connection's answer is read first.
+    std::vector<Fact> facts = std::exchange(inbox_, {});
+    std::shuffle(facts.begin(), facts.end(), chance_);
+    for (const Fact& f : facts) read(f);
+    for (int kind : std::exchange(waiting_, {})) admit(kind);
+    for (auto [session, commit] : std::exchange(learned_, {}))
+      commits_[session] = std::max(commits_[session], commit);
+    // The process may stand still in the middle of the round.
+    stall_ = chance(4) ? between(1, 200) : Span{};
+    busy_ = now_ + stall_;
+    rules_.decide(now_, *this);
+    if (chance(2)) busy_ = busy_ + between(1, 250);
+  }
+  void read(const Fact& f) {
+    Job& j = jobs_[f.job];
+    if (!sockets_) tells(j.store, f.tells, Span{1});  // from the next batch on
+    if (j.stmt < 0) {
+      if (f.report.position)
+        say("read: probe of %d, at %.3f as %s", j.store, (*f.report.position - kBegin).seconds() * 1000,
+            *f.report.primary ? "primary" : "replica");
+      return rules_.probed(j.store, f.ending == Ending::ok, f.report, now_);
+    }
+    Stmt& st = stmts_[j.stmt];
+    Result r;
+    r.execution = j.execution, r.ending = f.ending, r.role = f.role, r.position = f.position,
+    r.report = f.report;
+    r.took = ms(20), r.closed = !st.open || f.ending == Ending::ok;
+    say("read: #%d.%d at %d, ending %d, role %d, at %.3f", j.stmt, j.execution, j.store,
+        static_cast<int>(f.ending), static_cast<int>(f.role),
+        f.position ? (*f.position - kBegin).seconds() * 1000 : 0);
+    rules_.resolved(j.stmt, r, now_);
+    if (f.ending == Ending::ok && st.kind == kWrite && f.commit && (st.open || !carried_))
+      learned_.emplace_back(st.session, *f.commit);  // counts for what arrives in a later batch
+    st.open &= !r.closed;
+  }
+  // What was written before it was primary last tells nothing of what it is now.
+  void tells(int s, TimePoint written, Span counts) {
+    Store& store = stores_[s];
+    if (store.primary || written == kNever || written < store.lost) return;
+    ++tally_.told;
+    store.told = std::min(store.told, now_ + counts);
+  }
+
+  void send(int stmt, int s, TimePoint stopAt, TimePoint sendBy) override {
+    Stmt& st = stmts_[stmt];
+    int j = static_cast<int>(jobs_.size());
+    jobs_.push_back({stmt, static_cast<int>(st.jobs.size()), s, stores_[s].life,
+                     std::min(stopAt, st.giveUpAt), sockets_ ? sendBy : kForever});
+    st.jobs.push_back(j);
+    say("decided: #%d.%d (kind %d) to %d", stmt, jobs_[j].execution, st.kind, s);
+    at(jobs_[j].stopAt, [this, j] {
+      if (!jobs_[j].done && jobs_[j].left) arrives(j, Ending::timeout, Span{});
+    });
+    connect(j, 60);
+  }
+  void connect(int j, int pooled) {
+    if (!sockets_) return leaves(j);
+    if (chance(pooled))
+      at(now_ + stall_, [this, j] { leaves(j); });
+    else
+      after(stall_ + between(1, chance(50) ? 30 : 240), [this, j] { comesUp(j); });
+  }
+  // Its connection has come up, or another job's has come free.
+  void comesUp(int j) {
+    if (now_ < busy_) return at(busy_, [this, j] { comesUp(j); });
+    Store& s = stores_[jobs_[j].store];
+    if (!s.linked || !s.up) return arrives(j, Ending::connectFailed, s.up ? kConnect : Span{});
+    jobs_[j].life = s.life;
+    leaves(j);
+  }
+  void leaves(int j) {
+    Job& job = jobs_[j];
+    if (job.done) return;
+    bool wanted = job.stmt < 0 || (stmts_[job.stmt].open && !job.cancelled);
+    if (!wanted || now_ >= job.sendBy || now_ >= job.stopAt) {
+      ++tally_.late;
+      return arrives(j, Ending::moot, Span{});
+    }
+    // The kernel may take the last byte later, up to the very end.
+    Span left = std::min({job.sendBy, job.stopAt, now_ + ms(300)}) - now_;
+    if (sockets_ && job.stmt >= 0 && left > ms(1) && chance(10))
+      return after(chance(50) ? left - Span{1} : left * 0.5, [this, j] { hasLeft(j); });
+    hasLeft(j);
+  }
+  void hasLeft(int j) {
+    Job& job = jobs_[j];
+    if (job.done) return;
+    job.left = true;
+    Store& s = stores_[job.store];
+    if (!s.up || job.life != s.life) return arrives(j, Ending::reset, between(0.2, 2));
+    if (job.stmt >= 0) judge(job);
+    Span service = chance(10) ? between(30, 400) : between(0.5, 25);
+    after(service, [this, j] { answers(j); });
+  }
+  void answers(int j) {
+    Job& job = jobs_[j];
+    Store& s = stores_[job.store];
+    if (job.done || !s.up || s.life != job.life) return;
+    Fact f;
+    f.role = s.claims ? Role::primary : Role::replica;
+    if (!s.claims) f.tells = now_;
+    if (job.stmt < 0) {
+      f.report = s.report;
+      f.role = Role::unknown;
+      f.tells = *s.report.primary ? kNever : s.reportMade;
+      s.said = std::max(s.said, *s.report.position);
+    } else if (stmts_[job.stmt].kind == kWrite && s.primary) {
+      f.commit = now_;
+      if (!sockets_ || !chance(5)) f.position = TimePoint{(now_.us + 999) / 1000 * 1000};
+      s.said = now_;
+    } else if (stmts_[job.stmt].kind == kWrite) {
+      f.ending = s.claims ? Ending::error : Ending::miss;  // one that is cut off gets no commit through
+    } else {
+      f.position = TimePoint{s.position.us / 1000 * 1000};
+      s.said = std::max(s.said, *f.position);
+      if (chance(3)) f.ending = Ending::error, f.position.reset();
+      if (chance(30)) f.position.reset();
+    }
+    auto go = [this, j, f] { arrives(j, f, Span{}); };
+    if (!s.linked)
+      s.held.push_back(go);
+    else
+      after(chance(8) ? between(20, 400) : between(0.2, 3), go);
+  }
+  // A fact of a job has come to the front, or is one of its own.
+  void arrives(int j, Fact f, Span later) {
+    if (later > Span{}) return after(later, [this, j, f] { arrives(j, f, Span{}); });
+    if (std::exchange(jobs_[j].done, true)) return;
+    f.job = j;
+    if (sockets_) tells(jobs_[j].store, f.tells, kKnownAfter);
+    inbox_.push_back(f);
+    wantRound();
+  }
+
+  void arrives(int j, Ending ending, Span later) {
+    Fact f;
+    f.ending = ending;
+    arrives(j, f, later);
+  }
+
+  void cancel(int stmt, int execution) override {
+    Job& job = jobs_[stmts_[stmt].jobs[execution]];
+    job.cancelled = true;
+    if (job.left) arrives(stmts_[stmt].jobs[execution], Ending::cancelled, Span{});
+  }
+  void reject(int stmt, Span) override { stmts_[stmt].open = false; }
+  void abort(int stmt) override { stmts_[stmt].open = false; }
+  void probe(int s) override {
+    int j = static_cast<int>(jobs_.size());
+    jobs_.push_back({-1, -1, s, stores_[s].life, now_ + kConnect, kForever});
+    at(jobs_[j].stopAt, [this, j] { arrives(j, Ending::timeout, Span{}); });
+    connect(j, 80);
+  }
+  void release(int) override {}
+  void watchList() override {}
+  void wake(Span wait) override {
+    after(wait, [this] {
+      rules_.woken();
+      wantRound();
+    });
+  }
+
+  // ---- the oracle ----
+  void judge(const Job& job) {
+    const Stmt& st = stmts_[job.stmt];
+    const Store& s = stores_[job.store];
+    if (st.kind == kAny || st.kind == kWrite) return;
+    ++(s.primary ? tally_.atPrimary : tally_.atReplica)[st.kind];
+    if (s.primary) return;
+    TimePoint needs = st.kind == kNear ? now_ - ms(200) : st.kind == kFar ? now_ - ms(450) : st.needs;
+    if (s.position >= needs) return;
+    if (s.was && now_ < s.told) {
+      ++tally_.excused;
+      return;
+    }
+    char text[200];
+    std::snprintf(text, sizeof text,
+                  "at %.3f ms #%d.%d, kind %d, leaves for %d, whose data is %.3f ms too old%s",
+                  (now_ - kBegin).seconds() * 1000, job.stmt, job.execution, st.kind, job.store,
+                  (needs - s.position).seconds() * 1000, s.was ? "; it has told that it is no primary" : "");
+    broken_ = text;
+    say("%s", text);
+  }
+
+  std::mt19937_64 chance_;
+  Tally& tally_;
+  const bool show_;
+  bool sockets_ = true, follows_ = true, carried_ = true, cancels_ = true;
+  Rules rules_;
+  TimePoint now_ = kBegin, busy_ = kBegin;
+  Span stall_{};
+  bool roundDue_ = false;
+  long rounds_ = 0;
+  std::uint64_t order_ = 0;
+  std::priority_queue<Event> events_;
+  std::vector<Store> stores_;
+  std::vector<Stmt> stmts_;
+  std::vector<Job> jobs_;
+  std::vector<Fact> inbox_;
+  std::vector<int> waiting_;
+  std::vector<std::pair<std::uint64_t, TimePoint>> learned_;
+  struct Commits {
+    std::vector<TimePoint> of = std::vector<TimePoint>(8, kNever);
+    TimePoint& operator[](std::uint64_t session) { return of[session]; }
+  } commits_;
+  std::string broken_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  auto wants = [&](const char* what) { return argc > 1 && !std::strcmp(argv[1], what); };
+  bool finds = wants("--finds"), show = wants("--show"), all = wants("--all");
+  auto number = [&](int k, std::uint64_t otherwise) {
+    k += finds || show || all;
+    return argc > k ? std::strtoull(argv[k], nullptr, 10) : otherwise;
+  };
+  std::uint64_t first = number(1, 1), count = number(2, show ? 1 : 2000);
+  Tally tally;
+  long broken = 0;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    World world(seed, tally, show);
+    ++tally.seeds;
+    if (world.play()) continue;
+    std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), world.broken().c_str());
+    ++broken;
+    if (!all) return !finds;
+  }
+  const char* names[] = {"any", "near", "far", "session", "fresh"};
+  std::printf(
+      "%ld seeds, %ld with a stale read; told %ld, too late to leave %ld, excused %ld, forgotten %ld\n",
+      tally.seeds, broken, tally.told, tally.late, tally.excused, tally.forgotten);
+  bool played = tally.excused > 0 && tally.late > 0 && tally.forgotten > 0;
+  for (int k = kNear; k <= kFresh; ++k) {
+    std::printf("  %s: %ld at replicas, %ld at primaries\n", names[k], tally.atReplica[k],
+                tally.atPrimary[k]);
+    played &= tally.atReplica[k] > 0 && tally.atPrimary[k] > 0;
+  }
+  if (count >= 500 && !played) std::printf("not all was played\n");
+  return finds || broken > 0 || (count >= 500 && !played);
+}
