A session's write whose answer holds no position counts as committed by then

Where sessions are remembered, a write that was answered without a position (or with one that can't be read) left its session as if it had not written: its reads went to any replica. The protocol has every write answered with its commit, so this is a defence.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -899,14 +899,14 @@
   if (r.ending == Ending::ok) {
     least_[st.workload] = std::min(least_[st.workload] * (1 + kDrift),
                                    r.took * 0.5 + least_[st.workload] * 0.5);
-    if (w.level == Level::write && r.position && !terms_.tokensCarried) {
+    if (w.level == Level::write && !terms_.tokensCarried) {
       // Danger: sessions pile up for as long as a front runs; past the cap all count as having written last.
       if (sessions_.size() >= kSessionCap) {
         for (const auto& known : sessions_) sessionFloor_ = std::max(sessionFloor_, known.second);
         sessions_.clear();
       }
       TimePoint& last = sessions_.try_emplace(st.session, sessionFloor_).first->second;
-      last = std::max(last, *r.position);
+      last = std::max(last, r.position.value_or(now));  // it was committed before it was answered
     }
   }
   if (r.report.position) learnPosition(e.store, *r.report.position, refresh_ + reportAge_, now);
