A primary's answer counts from its send, not from when it is read

An answer written before a store lost the role and read after one that told so made it the primary again, and its reports as a replica were passed over as older than its last sight as primary; reads that must be current went there. At fault: learnRole took `now` for both roles. A claim of the role holds from the send on at the least, one of having none is believed from its reading.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -356,8 +356,10 @@
   groups_[g].primary = s, groups_[g].named = named, groups_[g].primarySince = now;
 }
 
-// `at`: when the store was seen in that role. Answers are of now, reports of the position that they carry.
-void Rules::learnRole(int s, Role role, TimePoint at, bool byReport) {
+// `at`: when the store was in that role. Danger: an answer may be read long after it was written, or overtake one
+// to what was sent later. As a primary's it counts from the send, as a replica's from now; a report from its
+// position.
+void Rules::learnRole(int s, Role role, TimePoint at, bool byReport, TimePoint now) {
   if (role == Role::unknown || stores_.group[s] < 0) return;
   GroupState& g = groups_[stores_.group[s]];
   if (role == Role::primary) {
@@ -365,7 +367,7 @@
     stores_.primaryAt[s] = at, stores_.role[s] = role;
     // Danger: two stores claim the role; the one seen in it last has it.
     if (g.primary != s && (g.primary < 0 || stores_.primaryAt[g.primary] < at))
-      namePrimary(stores_.group[s], s, byReport ? Named::byReport : Named::surely, at);
+      namePrimary(stores_.group[s], s, byReport ? Named::byReport : Named::surely, now);
     else if (g.primary == s && !(byReport && g.named == Named::byReport))
       g.named = Named::surely;
   } else if (at >= stores_.primaryAt[s]) {  // an older report says nothing about a store promoted since
@@ -512,7 +514,8 @@
     if (now - *report.position < smallestBound_) probeBudget_ = std::min(kProbesCap, probeBudget_ + 1);
     learnRefresh(s, *report.position, now);
     learnPosition(s, *report.position, refresh_ + reportAge_, now);
-    if (report.primary) learnRole(s, *report.primary ? Role::primary : Role::replica, *report.position, true);
+    if (report.primary)
+      learnRole(s, *report.primary ? Role::primary : Role::replica, *report.position, true, now);
   }
 }
 
@@ -890,7 +893,8 @@
   e.mayHaveRun = !(r.ending == Ending::full || r.ending == Ending::connectFailed ||
                    r.ending == Ending::moot || r.ending == Ending::miss);
   bool noPrimary = r.ending == Ending::miss && w.level == Level::write;
-  learnRole(e.store, noPrimary ? Role::replica : r.role, now, false);
+  Role role = noPrimary ? Role::replica : r.role;
+  learnRole(e.store, role, role == Role::primary ? e.sent : now, false, now);
   if (r.position && r.role == Role::replica) {
     learnPosition(e.store, *r.position, Span{}, now);
     lookLater(e.store, now - *r.position, Span{}, now);
--- a/src/rules.h
+++ b/src/rules.h
@@ -266,7 +266,7 @@
   void learnPosition(int s, TimePoint position, Span known, TimePoint now);
   // primary search
   void startedAnew(int s);
-  void learnRole(int s, Role role, TimePoint at, bool byReport);
+  void learnRole(int s, Role role, TimePoint at, bool byReport, TimePoint now);
   bool primaryUsable(const GroupState& g, TimePoint now) const;
   bool doubted(int s, TimePoint now) const;
   double shareOf(int s) const { return stores_.zone[s] < 0 ? 1 : zones_[stores_.zone[s]].share; }
