A read that rests on its primary's role leaves soon or is placed anew

Cause: an execution at a replica had to leave by its position's age, one at the primary only by its client's time (Rules::send). While it waited for a connection that came up late or was busy, an answer could tell that the store is a replica now; the read was written to it all the same, on the very connection that had said so. zone+brink has both, connections that come up late and primaries that are hit.

Such a read now has half of the 100 ms after which the protocol counts an answer's word as known; where it didn't leave it is placed anew. A connection that never comes up still tells so of its store, also where the job's time to leave is over (Stores::run).

roleLost (races) failed without: the store that had lost the role got the read in 3 of 3 runs.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -30,6 +30,8 @@
 // third of that after its wait, and so does whatever a call that failed did not bring. A watch waits two fifths of it,
 // and is broken a sixth later; what is left is for the next call, which may fail once more.
 constexpr Span kToldAnyway{6'000'000};
+// PROTOCOL: what an answer tells counts as known so long after it was written.
+constexpr Span kKnownAfter{100'000};
 constexpr double kWatchPart = 2.0 / 5, kSilentPart = 1.0 / 6;
 // Where the list is pushed, what its agent has counts as told: as parts of the grace of a drain, how long a connection
 // to it may take, and the pause between calls that fail.
@@ -43,9 +45,9 @@
           g.memory / kAnswerPart};
 }
 
-// On sockets what the list's service has counts as told at its time, whatever became of the calls.
+// On sockets what the list's service has, and what an answer tells, counts as told at its time, read or not.
 Given counted(Given g) {
-  g.terms.toldAnyway = kToldAnyway;
+  g.terms.toldAnyway = kToldAnyway, g.terms.knownAfter = kKnownAfter;
   return g;
 }
 
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -188,11 +188,14 @@
   if (up) {
     co_await c.serve();
   } else {
-    // Those that it was made for.
-    for (std::size_t n = atOnce(c.speech); n > 0; --n) {
-      Job* j = nextFor(c);
-      if (!j) break;
-      finish(j, Ending::connectFailed);
+    // Those that it was made for. Danger: one that waited too long to be sent found the store away all the same.
+    std::deque<Job*>& waiting = poolOf(c).waiting;
+    for (std::size_t n = atOnce(c.speech); n > 0 && !waiting.empty();) {
+      Job* j = waiting.front();
+      waiting.pop_front();
+      bool wanted = !j->cancelled && giver_.wanted(*j);
+      finish(j, wanted ? Ending::connectFailed : Ending::moot);
+      n -= wanted;
     }
   }
   unready(c);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -34,6 +34,7 @@
 // Primary search.
 constexpr double kSearchGap = 0.1;    // of the workload's SLO time, between two tries at members in turn
 constexpr double kSearchAgain = 0.5;  // of the SLO time, before a member seen as replica is tried again
+constexpr double kUnread = 0.5;       // of the time after which an answer's word counts, that a read may wait
 // Probe timing.
 constexpr double kFirstPace = 0.3;   // of the smallest bound, until the reports' period is known
 constexpr double kDrift = 0.01;      // by which a smallest figure rises again at each sample
@@ -845,8 +846,14 @@
   if (warmth(s, now) < 1) stores_.coldBudget[s] -= least_[st.workload].seconds() / meanWork_;
   if (stores_.block[s] > Span{}) stores_.blockedUntil[s] = now + stores_.block[s];  // a trial: one at a time
   // Danger: a connection takes its time to come up; a bounded read that leaves too late is a stale one.
-  bool ages = w.level == Level::bounded && s != groups_[st.group].primary && !terms_.storesCheck;
-  out.send(stmt, s, st.giveUpAt, ages ? std::min(leaveBy, stores_.position[s] + w.bound) : leaveBy);
+  bool current = w.level != Level::any && w.level != Level::write && !terms_.storesCheck;
+  if (current && s != groups_[st.group].primary) {
+    if (w.level == Level::bounded) leaveBy = std::min(leaveBy, stores_.position[s] + w.bound);
+  } else if (current && terms_.knownAfter > Span{}) {
+    // Danger: meanwhile an answer may tell that this is no primary any more, and counts though it wasn't read.
+    leaveBy = std::min(leaveBy, now + terms_.knownAfter * kUnread);
+  }
+  out.send(stmt, s, st.giveUpAt, leaveBy);
 }
 
 // ---- facts and the round ----
--- a/src/rules.h
+++ b/src/rules.h
@@ -60,6 +60,7 @@
   Span connectTimeout;
   Span askEvery;
   Span toldAnyway;  // what the list's service has counts as told by then, whatever became of calls; none: never
+  Span knownAfter;  // an answer's word counts as known so long after it was written; none: once it is read
   Span drainGrace;  // that sends to a store may go on after it was told to drain
   Span coldRamp;
   Span coldWindow;
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -143,6 +143,7 @@
     t.connectTimeout = kConnect, t.askEvery = ms(10'000), t.drainGrace = ms(500);
     t.coldRamp = ms(chance(50) ? 200 : 3000), t.coldWindow = ms(1000), t.coldFrom = 0.5, t.coldMultiple = 2.5;
     sockets_ = chance(70);
+    if (sockets_) t.knownAfter = ms(100);
     follows_ = t.roleFollows, carried_ = t.tokensCarried, cancels_ = t.mayCancel;
     return t;
   }
--- a/tests/races.cpp
+++ b/tests/races.cpp
@@ -136,6 +136,36 @@
   std::printf("a repeat whose connection came up too late: %s; %d sent\n", got.c_str(), its.times);
 }
 
+// A bounded read waits for its connection to the primary; meanwhile an answer tells that it is none any more.
+void roleLost() {
+  edits = {{"\"lag_allowed\":[0,20000000", "\"lag_allowed\":[0,200000"},
+           {"\"connect_timeout\":250000", "\"connect_timeout\":2000000"}};
+  Drive d(2);
+  d.toy.lag(1, ms(60'000));
+  Client c(d), other(d);
+  c.ask(Client::write("a"));
+  d.until("bounded reads go to the primary", [&] {
+    int had = d.toy.executions(0);
+    c.ask(Client::read("b", 3000, "near"));
+    return d.toy.executions(0) > had;
+  });
+  d.toy.promote(1), d.toy.lag(0, ms(60'000)), d.toy.lag(1, ms(0));
+  Seen its(d, "slow300");
+  c.send(pg::query(Client::read("slow300", 3000, "near")));
+  d.until("one is out there", [&] { return its.times > 0; });
+  d.toy.hold(0, true), d.toy.closeIdle(0);
+  d.until("no connection rests there", [&] { return d.toy.connections(0) == 1; });
+  d.toy.seen = [](int store, const std::string& text) {
+    if (text.find("'waits'") != std::string::npos) std::printf("store %d sees it\n", store);
+  };
+  other.send(pg::query(Client::read("waits", 3000, "near")));
+  d.until("its connection is dialled", [&] { return d.toy.holdsBack(0); });
+  c.get();  // by which it is a replica, and its connection is free
+  c.ask(Client::write("c"));  // finds the new one
+  std::string got = other.get();
+  std::printf("a bounded read whose primary lost the role meanwhile: %s\n", got.c_str());
+}
+
 // The last bytes of an idle connection come with its end, as a statement comes that must not run twice.
 void endsWithWord() {
   for (const auto& [what, bytes] : {std::pair<const char*, std::string>{"nothing", ""},
@@ -487,6 +517,7 @@
                        {"goesBehindMuch", goesBehindMuch},
                        {"goesWaiting", goesWaiting},
                        {"windowEdge", windowEdge},
+                       {"roleLost", roleLost},
                        {"endsWithWord", endsWithWord},
                        {"termBetween", termBetween},
                        {"restingShut", restingShut},
