A report as replica that passes for older than its store's role puts that in doubt

A primary that was cut off stands still while it goes on answering; back as a replica it reports a position from before it was last seen as primary. learnRole took such a report for one from before a promotion and dropped it.

Such a report can't be told from an old one, so the store keeps its writes and gets no read that must be current until it answers as primary to what is sent from then on. The same for a store that has started anew, where an answer of the process before made it sure again.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -146,7 +146,7 @@
   S.zone[s] = e.zone, S.weight[s] = e.weight > 0 ? e.weight : 1, S.inList[s] = 1;
   // Where a vanished store is not bound by the drain rule the list does not prove what is up: health decides.
   if (e.listed != Listed::gone || terms_.goneBinds) S.listed[s] = e.listed;
-  if (e.started && *e.started > S.started[s]) begins(s, *e.started, now), unblock(s), startedAnew(s);
+  if (e.started && *e.started > S.started[s]) begins(s, *e.started, now), unblock(s), startedAnew(s, now);
   GroupState& g = groups_[e.group];
   if (e.primary && e.listed == Listed::up && S.role[s] == Role::unknown && g.primary != s &&
       (g.primary < 0 || (terms_.roleFollows && (g.named == Named::byList || !usable(g.primary, now)))))
@@ -365,28 +365,38 @@
   GroupState& g = groups_[stores_.group[s]];
   if (role == Role::primary) {
     if (at <= stores_.primaryAt[s] || at <= stores_.replicaAt[s]) return;
+    if (!byReport && at <= stores_.doubtedAt[s]) return;
     stores_.primaryAt[s] = at, stores_.role[s] = role;
     // Danger: two stores claim the role; the one seen in it last has it.
     if (g.primary != s && (g.primary < 0 || stores_.primaryAt[g.primary] < at))
       namePrimary(stores_.group[s], s, byReport ? Named::byReport : Named::surely, now);
     else if (g.primary == s && !(byReport && g.named == Named::byReport))
       g.named = Named::surely;
-  } else if (at >= stores_.primaryAt[s]) {  // an older report says nothing about a store promoted since
+  } else {
+    // Danger: a report that passes for older than its last sight as primary may be new, of one that stood still.
+    doubtRole(s, now);
+    if (at < stores_.primaryAt[s]) return;  // or it is old, and says nothing about a store promoted since
     stores_.role[s] = role;
     stores_.replicaAt[s] = std::max(stores_.replicaAt[s], at);
     if (g.primary == s) g.primary = -1;
   }
 }
 
-// Danger: a primary that died comes back as a replica whose position stands where it was last seen as primary; its
-// reports would pass for older than that. Until it has answered as primary since its start it gets writes, as one that
-// a report alone names, but no read that must be current; and any report tells what it is.
-void Rules::startedAnew(int s) {
+// Until it has answered as primary to what is sent from now on it gets writes, as one that a report alone names,
+// but no read that must be current.
+void Rules::doubtRole(int s, TimePoint now) {
   GroupState& g = groups_[stores_.group[s]];
-  stores_.primaryAt[s] = kNever;
+  stores_.doubtedAt[s] = now;
   if (g.primary == s && g.named == Named::surely) g.named = Named::byReport;
 }
 
+// Danger: a primary that died comes back as a replica whose position stands where it was last seen as primary;
+// its reports would pass for older than that. Any report tells what it is, and its role is doubted.
+void Rules::startedAnew(int s, TimePoint now) {
+  stores_.primaryAt[s] = kNever;
+  doubtRole(s, now);
+}
+
 // While no primary is known or it is silent, writes try members in turn, one at a time for each group.
 int Rules::searchTurn(int stmt, TimePoint now) {
   Stmt& st = stmts_[stmt];
@@ -509,7 +519,7 @@
   // Danger: a store that was only cut off is not cold. A dead primary of several would have lost its role.
   bool kept = report.position && report.primary.value_or(false) && *report.position > stores_.blockedAt[s];
   if (kept && groups_[stores_.group[s]].members.size() > 1) stores_.dead[s] = 0;
-  if (stores_.down[s] && stores_.dead[s]) startedAnew(s);
+  if (stores_.down[s] && stores_.dead[s]) startedAnew(s, now);
   if (stores_.down[s]) healed(s, now);
   if (report.position) {
     if (now - *report.position < smallestBound_) probeBudget_ = std::min(kProbesCap, probeBudget_ + 1);
--- a/src/rules.h
+++ b/src/rules.h
@@ -157,6 +157,7 @@
   // role
   std::vector<Role> role;
   std::vector<TimePoint> primaryAt, replicaAt;  // last seen in that role
+  std::vector<TimePoint> doubtedAt;             // what was sent up to then doesn't show it as primary
   // probes
   std::vector<char> probing;
   std::vector<TimePoint> reported;           // the position of its newest report
@@ -185,7 +186,7 @@
       if (array.size() <= s) array.resize(s + 1);
       array[s] = std::move(value);
     };
-    for (auto* never : {&started, &position, &primaryAt, &replicaAt, &reported, &probedAt, &renewal,
+    for (auto* never : {&started, &position, &primaryAt, &replicaAt, &doubtedAt, &reported, &probedAt, &renewal,
                         &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt, &refusedAt,
                         &crowdedAt})
       put(*never, kNever);
@@ -266,7 +267,8 @@
   int routeCurrent(int stmt, TimePoint now);
   void learnPosition(int s, TimePoint position, Span known, TimePoint now);
   // primary search
-  void startedAnew(int s);
+  void startedAnew(int s, TimePoint now);
+  void doubtRole(int s, TimePoint now);
   void learnRole(int s, Role role, TimePoint at, bool byReport, TimePoint now);
   bool primaryUsable(const GroupState& g, TimePoint now) const;
   bool doubted(int s, TimePoint now) const;
