A list that shows roles as at the start names no primary once stores have told otherwise

A store that told that it is a replica, was gone from the list for two keepalives (its row blank by then, Rules::left) and came back was named by such a list again where its group had no primary just then; reads that must be current went there.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -148,8 +148,10 @@
   if (e.listed != Listed::gone || terms_.goneBinds) S.listed[s] = e.listed;
   if (e.started && *e.started > S.started[s]) begins(s, *e.started, now), unblock(s), startedAnew(s, now);
   GroupState& g = groups_[e.group];
+  // Danger: a list that shows roles as at the start would name one that told otherwise and was forgotten since.
   if (e.primary && e.listed == Listed::up && S.role[s] == Role::unknown && g.primary != s &&
-      (g.primary < 0 || (terms_.roleFollows && (g.named == Named::byList || !usable(g.primary, now)))))
+      (g.primary < 0 ? terms_.roleFollows || !g.moved
+                     : terms_.roleFollows && (g.named == Named::byList || !usable(g.primary, now))))
     namePrimary(e.group, s, Named::byList, now);
 }
 
@@ -355,6 +357,7 @@
 
 void Rules::namePrimary(int g, int s, Named named, TimePoint now) {
   groups_[g].primary = s, groups_[g].named = named, groups_[g].primarySince = now;
+  groups_[g].moved |= named != Named::byList;
 }
 
 // `at`: when the store was in that role. Danger: an answer may be read long after it was written, or overtake one
@@ -378,7 +381,7 @@
     if (at < stores_.primaryAt[s]) return;  // or it is old, and says nothing about a store promoted since
     stores_.role[s] = role;
     stores_.replicaAt[s] = std::max(stores_.replicaAt[s], at);
-    if (g.primary == s) g.primary = -1;
+    if (g.primary == s) g.primary = -1, g.moved = true;
   }
 }
 
--- a/src/rules.h
+++ b/src/rules.h
@@ -206,6 +206,7 @@
   std::vector<int> waiting;  // statements not out anywhere, oldest first
   int primary = -1;
   Named named = Named::byList;
+  bool moved = false;  // a store has told of the role otherwise than the list
   int turn = 0;
   TimePoint searched = kNever;
   TimePoint primarySince = kNever;
