--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -34,6 +34,7 @@
 // Primary search.
 constexpr double kSearchGap = 0.1;    // of the workload's SLO time, between two tries at members in turn
 constexpr double kSearchAgain = 0.5;  // of the SLO time, before a member seen as replica is tried again
+constexpr double kUnread = 0.5;       // of the time after which an answer's word counts, that a read may wait
 // Probe timing.
 constexpr double kFirstPace = 0.3;   // of the smallest bound, until the reports' period is known
 constexpr double kDrift = 0.01;      // by which a smallest figure rises again at each sample
@@ -145,10 +146,12 @@
   S.zone[s] = e.zone, S.weight[s] = e.weight > 0 ? e.weight : 1, S.inList[s] = 1;
   // Where a vanished store is not bound by the drain rule the list does not prove what is up: health decides.
   if (e.listed != Listed::gone || terms_.goneBinds) S.listed[s] = e.listed;
-  if (e.started && *e.started > S.started[s]) begins(s, *e.started, now), unblock(s), startedAnew(s);
+  if (e.started && *e.started > S.started[s]) begins(s, *e.started, now), unblock(s), startedAnew(s, now);
   GroupState& g = groups_[e.group];
+  // Danger: a list that shows roles as at the start would name one that told otherwise and was forgotten since.
   if (e.primary && e.listed == Listed::up && S.role[s] == Role::unknown && g.primary != s &&
-      (g.primary < 0 || (terms_.roleFollows && (g.named == Named::byList || !usable(g.primary, now)))))
+      (g.primary < 0 ? terms_.roleFollows || !g.moved
+                     : terms_.roleFollows && (g.named == Named::byList || !usable(g.primary, now))))
     namePrimary(e.group, s, Named::byList, now);
 }
 
@@ -354,37 +357,49 @@
 
 void Rules::namePrimary(int g, int s, Named named, TimePoint now) {
   groups_[g].primary = s, groups_[g].named = named, groups_[g].primarySince = now;
+  groups_[g].moved |= named != Named::byList;
 }
 
-// `at`: when the store was seen in that role. Answers are of now, reports of the position that they carry.
-void Rules::learnRole(int s, Role role, TimePoint at, bool byReport) {
+// `at`: when the store was in that role. Danger: an answer may be read long after it was written, or overtake one
+// to what was sent later. As a primary's it counts from the send, as a replica's from now; a report from its
+// position.
+void Rules::learnRole(int s, Role role, TimePoint at, bool byReport, TimePoint now) {
   if (role == Role::unknown || stores_.group[s] < 0) return;
   GroupState& g = groups_[stores_.group[s]];
   if (role == Role::primary) {
     if (at <= stores_.primaryAt[s] || at <= stores_.replicaAt[s]) return;
+    if (!byReport && at <= stores_.doubtedAt[s]) return;
     stores_.primaryAt[s] = at, stores_.role[s] = role;
     // Danger: two stores claim the role; the one seen in it last has it.
     if (g.primary != s && (g.primary < 0 || stores_.primaryAt[g.primary] < at))
-      namePrimary(stores_.group[s], s, byReport ? Named::byReport : Named::surely, at);
+      namePrimary(stores_.group[s], s, byReport ? Named::byReport : Named::surely, now);
     else if (g.primary == s && !(byReport && g.named == Named::byReport))
       g.named = Named::surely;
-  } else if (at >= stores_.primaryAt[s]) {  // an older report says nothing about a store promoted since
+  } else {
+    // Danger: a report that passes for older than its last sight as primary may be new, of one that stood still.
+    doubtRole(s, now);
+    if (at < stores_.primaryAt[s]) return;  // or it is old, and says nothing about a store promoted since
     stores_.role[s] = role;
     stores_.replicaAt[s] = std::max(stores_.replicaAt[s], at);
-    if (g.primary == s) g.primary = -1;
+    if (g.primary == s) g.primary = -1, g.moved = true;
   }
 }
 
-// Danger: a primary that died comes back as a replica whose position stands where it was last seen as
-// primary; its reports would pass for older than that. Until it has answered as primary since its start it
-// gets writes, as one that a report alone names, but no read that must be current; and any report tells what
-// it is.
-void Rules::startedAnew(int s) {
+// Until it has answered as primary to what is sent from now on it gets writes, as one that a report alone names,
+// but no read that must be current.
+void Rules::doubtRole(int s, TimePoint now) {
   GroupState& g = groups_[stores_.group[s]];
-  stores_.primaryAt[s] = kNever;
+  stores_.doubtedAt[s] = now;
   if (g.primary == s && g.named == Named::surely) g.named = Named::byReport;
 }
 
+// Danger: a primary that died comes back as a replica whose position stands where it was last seen as primary;
+// its reports would pass for older than that. Any report tells what it is, and its role is doubted.
+void Rules::startedAnew(int s, TimePoint now) {
+  stores_.primaryAt[s] = kNever;
+  doubtRole(s, now);
+}
+
 // While no primary is known or it is silent, writes try members in turn, one at a time for each group.
 int Rules::searchTurn(int stmt, TimePoint now) {
   Stmt& st = stmts_[stmt];
@@ -507,13 +522,14 @@
   // Danger: a store that was only cut off is not cold. A dead primary of several would have lost its role.
   bool kept = report.position && report.primary.value_or(false) && *report.position > stores_.blockedAt[s];
   if (kept && groups_[stores_.group[s]].members.size() > 1) stores_.dead[s] = 0;
-  if (stores_.down[s] && stores_.dead[s]) startedAnew(s);
+  if (stores_.down[s] && stores_.dead[s]) startedAnew(s, now);
   if (stores_.down[s]) healed(s, now);
   if (report.position) {
     if (now - *report.position < smallestBound_) probeBudget_ = std::min(kProbesCap, probeBudget_ + 1);
     learnRefresh(s, *report.position, now);
     learnPosition(s, *report.position, refresh_ + reportAge_, now);
-    if (report.primary) learnRole(s, *report.primary ? Role::primary : Role::replica, *report.position, true);
+    if (report.primary)
+      learnRole(s, *report.primary ? Role::primary : Role::replica, *report.position, true, now);
   }
 }
 
@@ -843,8 +859,14 @@
   if (warmth(s, now) < 1) stores_.coldBudget[s] -= least_[st.workload].seconds() / meanWork_;
   if (stores_.block[s] > Span{}) stores_.blockedUntil[s] = now + stores_.block[s];  // a trial: one at a time
   // Danger: a connection takes its time to come up; a bounded read that leaves too late is a stale one.
-  bool ages = w.level == Level::bounded && s != groups_[st.group].primary && !terms_.storesCheck;
-  out.send(stmt, s, st.giveUpAt, ages ? std::min(leaveBy, stores_.position[s] + w.bound) : leaveBy);
+  bool current = w.level != Level::any && w.level != Level::write && !terms_.storesCheck;
+  if (current && s != groups_[st.group].primary) {
+    if (w.level == Level::bounded) leaveBy = std::min(leaveBy, stores_.position[s] + w.bound);
+  } else if (current && terms_.knownAfter > Span{}) {
+    // Danger: meanwhile an answer may tell that this is no primary any more, and counts though it wasn't read.
+    leaveBy = std::min(leaveBy, now + terms_.knownAfter * kUnread);
+  }
+  out.send(stmt, s, st.giveUpAt, leaveBy);
 }
 
 // ---- facts and the round ----
@@ -891,7 +913,8 @@
   e.mayHaveRun = !(r.ending == Ending::full || r.ending == Ending::connectFailed ||
                    r.ending == Ending::moot || r.ending == Ending::miss);
   bool noPrimary = r.ending == Ending::miss && w.level == Level::write;
-  learnRole(e.store, noPrimary ? Role::replica : r.role, now, false);
+  Role role = noPrimary ? Role::replica : r.role;
+  learnRole(e.store, role, role == Role::primary ? e.sent : now, false, now);
   if (r.position && r.role == Role::replica) {
     learnPosition(e.store, *r.position, Span{}, now);
     lookLater(e.store, now - *r.position, Span{}, now);
@@ -900,14 +923,14 @@
   if (r.ending == Ending::ok) {
     least_[st.workload] = std::min(least_[st.workload] * (1 + kDrift),
                                    r.took * 0.5 + least_[st.workload] * 0.5);
-    if (w.level == Level::write && r.position && !terms_.tokensCarried) {
+    if (w.level == Level::write && !terms_.tokensCarried) {
       // Danger: sessions pile up for as long as a front runs; past the cap all count as having written last.
       if (sessions_.size() >= kSessionCap) {
         for (const auto& known : sessions_) sessionFloor_ = std::max(sessionFloor_, known.second);
         sessions_.clear();
       }
       TimePoint& last = sessions_.try_emplace(st.session, sessionFloor_).first->second;
-      last = std::max(last, *r.position);
+      last = std::max(last, r.position.value_or(now));  // it was committed before it was answered
     }
   }
   if (r.report.position) learnPosition(e.store, *r.report.position, refresh_ + reportAge_, now);
--- a/src/rules.h
+++ b/src/rules.h
@@ -60,6 +60,7 @@
   Span connectTimeout;
   Span askEvery;
   Span toldAnyway;  // what the list's service has counts as told by then, whatever calls came to; none: never
+  Span knownAfter;  // an answer's word counts as known so long after it was written; none: once it is read
   Span drainGrace;  // that sends to a store may go on after it was told to drain
   Span coldRamp;
   Span coldWindow;
@@ -156,6 +157,7 @@
   // role
   std::vector<Role> role;
   std::vector<TimePoint> primaryAt, replicaAt;  // last seen in that role
+  std::vector<TimePoint> doubtedAt;             // what was sent up to then doesn't show it as primary
   // probes
   std::vector<char> probing;
   std::vector<TimePoint> reported;           // the position of its newest report
@@ -184,7 +186,7 @@
       if (array.size() <= s) array.resize(s + 1);
       array[s] = std::move(value);
     };
-    for (auto* never : {&started, &position, &primaryAt, &replicaAt, &reported, &probedAt, &renewal,
+    for (auto* never : {&started, &position, &primaryAt, &replicaAt, &doubtedAt, &reported, &probedAt, &renewal,
                         &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt, &refusedAt,
                         &crowdedAt})
       put(*never, kNever);
@@ -204,6 +206,7 @@
   std::vector<int> waiting;  // statements not out anywhere, oldest first
   int primary = -1;
   Named named = Named::byList;
+  bool moved = false;  // a store has told of the role otherwise than the list
   int turn = 0;
   TimePoint searched = kNever;
   TimePoint primarySince = kNever;
@@ -267,8 +270,9 @@
   int routeCurrent(int stmt, TimePoint now);
   void learnPosition(int s, TimePoint position, Span known, TimePoint now);
   // primary search
-  void startedAnew(int s);
-  void learnRole(int s, Role role, TimePoint at, bool byReport);
+  void startedAnew(int s, TimePoint now);
+  void doubtRole(int s, TimePoint now);
+  void learnRole(int s, Role role, TimePoint at, bool byReport, TimePoint now);
   bool primaryUsable(const GroupState& g, TimePoint now) const;
   bool doubted(int s, TimePoint now) const;
   double shareOf(int s) const { return stores_.zone[s] < 0 ? 1 : zones_[stores_.zone[s]].share; }
