A fault or endless frames on a store's connection keep no statement waiting

Cause, by reading: Stores::run had no way back from an exception in Carrier::serve: the carrier went with its coroutine, a pointer to it stayed among the connections, and its jobs never ended, so that their statements were answered only at the end of their time (Scheduler::runRoot logs 'fault' and goes on). And Connection::read of the Cassandra protocol took its turn to be over after 32 frames, but set the event that it then waited for: an event once set doesn't make its waiter wait, so frames without end (events that nobody asked for) had the thread for themselves.

Mend: Carrier has end(), which closes and ends what is still on it, and Stores::run comes to it also behind an exception; a job that had been written ends as a reset. Between two turns others run. A write that fails reads once more, as answers may stand before the end (no test: the read comes right before that write).

--- a/src/doors/cql/carrier.cpp
+++ b/src/doors/cql/carrier.cpp
@@ -57,6 +57,7 @@
 
   sched::Task<bool> comeUp(TimePoint until) override;
   sched::Task<> serve() override;
+  sched::Task<> end() override;
 
  private:
   sched::Scheduler& scheduler() { return stores.scheduler(); }
@@ -91,6 +92,7 @@
   std::uint64_t queued_ = 0, written_ = 0;  // bytes, since the connection began
   TimePoint partSince_ = kNever, heardAt_ = kNever, retiredAt_ = kNever;
   bool retired_ = false, writing_ = false, broken_ = false;
+  bool more_ = false;  // more than one turn's frames may have come
 };
 
 void Connection::put(int stream, std::uint8_t flags, Opcode o, std::string_view body) {
@@ -422,7 +424,7 @@
     heardAt_ = now;
     partSince_ = kNever;
   }
-  socket_.in.set();  // more may be there; others first
+  more_ = true;
   return true;
 }
 
@@ -439,7 +441,10 @@
     beginNew();
     if (!out_.empty() && !writing_) {
       std::optional<std::string_view> rest = socket_.write(out_);
-      if (!rest) break;
+      if (!rest) {
+        read(now);  // what came right before the end is an answer
+        break;
+      }
       written_ += out_.size() - rest->size();
       if (rest->empty()) {
         out_.clear();
@@ -466,8 +471,15 @@
     // Texts may be prepared by another connection meanwhile.
     if (!streams_.parked().empty()) until = std::min(until, now + stores.limits().connectTimeout * kLook);
     if (partSince_ != kNever) until = std::min(until, partSince_ + stores.limits().connectTimeout);
-    co_await socket_.in.wait(until);
+    // Danger: frames without end, as fast as they can be read, would have this thread for themselves.
+    if (std::exchange(more_, false))
+      co_await sched::sleepUntil(scheduler(), now + Span{1});
+    else
+      co_await socket_.in.wait(until);
   }
+}
+
+sched::Task<> Connection::end() {
   stores.unready(*this);
   broken_ = true;
   socket_.close();
--- a/src/doors/pg/carrier.cpp
+++ b/src/doors/pg/carrier.cpp
@@ -51,6 +51,7 @@
   std::size_t held() const override { return in.capacity(); }
   sched::Task<bool> comeUp(TimePoint until) override;
   sched::Task<> serve() override;
+  sched::Task<> end() override;
 
   enum class Seen { nothing, good, broken };
 
@@ -133,7 +134,7 @@
   std::size_t beside = 0;          // bytes of parameters and notices since the last answer
   std::size_t used = 0, kept = 0;  // of `in`: the message in hand; before it, what of the answer goes on as it came
   Job* job = nullptr;
-  bool garbled = false, late = false, writing = false;
+  bool garbled = false, late = false, writing = false, asked = false;
 
   void learn(std::string_view payload, Job& to);
   void handOver(Job& to);
@@ -304,12 +305,19 @@
       stores.finish(j, Ending::moot);
       continue;
     }
+    asked = true;
     bool sound = co_await perform();
+    asked = false;
     job = nullptr;
     stores.finish(j, j->ending);
     if (!sound) break;
   }
-  if (job) stores.finish(std::exchange(job, nullptr), Ending::moot);
+}
+
+sched::Task<> Connection::end() {
+  socket.close();
+  if (job) stores.finish(std::exchange(job, nullptr), asked ? Ending::reset : Ending::moot);
+  co_return;
 }
 
 }  // namespace
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -181,12 +181,28 @@
   giver_.ended(*kept);
 }
 
+sched::Task<bool> Stores::comeUp(Carrier& c) {
+  try {
+    bool up = co_await c.comeUp(scheduler_.now() + limits_.connectTimeout);
+    co_return up;
+  } catch (const std::exception& e) {
+    log::line("fault", "what=\"%s\"", e.what());
+    co_return false;
+  }
+}
+
 sched::Task<> Stores::run(std::unique_ptr<Carrier> owned) {
   Carrier& c = *owned;
-  bool up = co_await c.comeUp(scheduler_.now() + limits_.connectTimeout);
+  bool up = co_await comeUp(c);
   --poolOf(c).coming;
   if (up) {
-    co_await c.serve();
+    // Danger: an exception that left this coroutine would leave its jobs without an end, and its connection
+    // among the others.
+    try {
+      co_await c.serve();
+    } catch (const std::exception& e) {
+      log::line("fault", "what=\"%s\"", e.what());
+    }
   } else {
     // Those that it was made for.
     for (std::size_t n = atOnce(c.speech); n > 0; --n) {
@@ -196,8 +212,8 @@
     }
   }
   unready(c);
+  co_await c.end();
   std::erase(connections_, &c);
-  c.close();
   // Jobs that counted on this connection need another.
   openWanted(c.store, c.speech);
 }
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -24,8 +24,10 @@
 
   // Does what comes before the first job; false where the connection can't be had.
   virtual sched::Task<bool> comeUp(TimePoint until) = 0;
-  // Carries jobs until the connection is of no more use. All jobs on it have ended then.
+  // Carries jobs until the connection is of no more use.
   virtual sched::Task<> serve() = 0;
+  // Closes, and ends all jobs that are still on it, also where serve() has failed in the middle.
+  virtual sched::Task<> end() = 0;
   // A job for it, one that stands among the ready of its pool.
   virtual void take(Job* job) = 0;
   virtual void cancel(Job* job) = 0;  // one of its jobs is not wanted any more
@@ -122,6 +124,7 @@
   void openOne(int store, Speech speech);
   bool closeLongestIdle();
   sched::Task<> run(std::unique_ptr<Carrier> c);
+  sched::Task<bool> comeUp(Carrier& c);
 
   sched::Scheduler& scheduler_;
   exchange::Giver& giver_;
--- a/tests/carrier.cpp
+++ b/tests/carrier.cpp
@@ -1,12 +1,14 @@
-// Jobs on a connection to a store in PostgreSQL's protocol, with both ends in one process: what has come into
+// Jobs on a connection to a store, with both ends in one process: what has come into
 // the kernel and what is decided meet in the order that a test wants.
-#include "doors/pg/carrier.h"
+#include "doors/cql/carrier.h"
 
 #include <csignal>
 #include <cstdio>
 #include <memory>
+#include <stdexcept>
 #include <string>
 
+#include "doors/pg/carrier.h"
 #include "doors/pg/take_in.h"
 #include "drive.h"
 #include "pg/messages.h"
@@ -28,17 +30,25 @@
       return "cancelled";
     case Ending::moot:
       return "moot";
+    case Ending::reset:
+      return "reset";
+    case Ending::connectFailed:
+      return "never connected";
     default:
       return "another";
   }
 }
 
-// One store, and one job given to it.
+// One store, and one job given to it: a statement, or where `probes` is so, a probe.
 class Pair : public exchange::Giver {
  public:
-  Pair()
-      : stores(s, *this, {ms(5000), ms(60'000), 8, 1 << 20, 1 << 20}), listener(s, sched::listenOn(here(0))) {
-    exchange::Speech speech = stores.add(voice);
+  explicit Pair(std::unique_ptr<exchange::Voice> in = std::make_unique<doors::pg::Voice>(),
+                bool probes = false)
+      : voice(std::move(in)),
+        probe(probes),
+        stores(s, *this, {ms(5000), ms(60'000), 8, 1 << 20, 1 << 20}),
+        listener(s, sched::listenOn(here(0))) {
+    exchange::Speech speech = stores.add(*voice);
     stores.place(0, speech, here(static_cast<std::uint16_t>(sched::portOf(listener.fd()))));
     query.text = "SELECT 1 /* id=1,c=any,cluster=7,d=900 */";
     query.waitAt = query.text.find("900"), query.waitSize = 3;
@@ -49,6 +59,7 @@
   exchange::Job* give() {
     auto j = std::make_unique<exchange::Job>();
     j->stmt = 1, j->execution = 0, j->store = 0, j->speech = spoken, j->request = &query;
+    if (probe) j->stmt = -1, j->request = nullptr;
     j->begun = s.now(), j->until = s.now() + ms(20'000);
     return stores.give(std::move(j));
   }
@@ -65,12 +76,12 @@
     s.pass(s.now() + ms(2), [] {});
   }
   // Waits until so much has come from the front, and forgets it.
-  void comes(const char* what) {
+  void comes(std::string_view what) {
     std::string in;
     while (in.find(what) == std::string::npos) pass(), peer->read(in, 1 << 20);
   }
   void ends() {
-    while (!done) pass();
+    for (TimePoint end = s.now() + test::kPatience; !done && s.now() < end;) pass();
   }
 
   bool wanted(const exchange::Job&) const override { return true; }
@@ -83,7 +94,8 @@
   }
 
   sched::Scheduler s;
-  doors::pg::Voice voice;
+  std::unique_ptr<exchange::Voice> voice;
+  const bool probe;
   doors::pg::Query query;
   peers::Stores stores;
   sched::Descriptor listener;
@@ -152,7 +164,79 @@
   }
 }
 
-const Case kCases[] = {{"cancelCrosses", cancelCrosses}, {"endsUnseen", endsUnseen}};
+// Frames that nobody asked for, as many as there are: whatever else the front has to do goes on beside them.
+void endlessFrames() {
+  doors::cql::Given given;
+  Pair p(std::make_unique<doors::cql::Voice>(given, 4), true);
+  p.comes("CQL_VERSION");
+  p.peer->write(std::string("\x84\0\0\0\2\0\0\0\0", 9));
+  p.comes(std::string("\4\0\0\0\5", 5));
+  std::string events;
+  for (int k = 0; k < 20'000; ++k) events += std::string("\x84\0\xff\xff\x0c\0\0\0\0", 9);
+  p.peer->write(events + std::string("\x84\0\0\0\6\0\0\0\2\0\0", 11));
+  int rounds = 0;
+  for (; !p.done; ++rounds) p.pass();
+  std::printf("20,000 frames before its answer: others have had %s\n",
+              rounds > 50 ? "many rounds" : "to wait");
+}
+
+// A connection whose work fails in the middle, by an exception.
+class Faulty : public exchange::Carrier {
+ public:
+  Faulty(peers::Stores& owner, int of, exchange::Speech in, int fd, bool early)
+      : Carrier(owner, of, in), socket_(owner.scheduler(), fd), early_(early) {}
+  sched::Task<bool> comeUp(TimePoint until) override {
+    bool up = co_await sched::connected(socket_, until);
+    if (early_) throw std::runtime_error("as it comes up");
+    co_return up;
+  }
+  sched::Task<> serve() override {
+    job_ = stores.nextFor(*this);
+    throw std::runtime_error("as it serves");
+    co_return;
+  }
+  sched::Task<> end() override {
+    socket_.close();
+    if (job_) stores.finish(std::exchange(job_, nullptr), Ending::reset);
+    co_return;
+  }
+  void take(exchange::Job* job) override { job_ = job; }
+  void cancel(exchange::Job*) override {}
+  void close() override { socket_.close(); }
+  std::size_t jobs() const override { return job_ != nullptr; }
+  std::size_t held() const override { return 0; }
+
+ private:
+  sched::Socket socket_;
+  exchange::Job* job_ = nullptr;
+  bool early_;
+};
+
+struct FaultyVoice : exchange::Voice {
+  explicit FaultyVoice(bool so) : early(so) {}
+  std::unique_ptr<exchange::Carrier> carrier(peers::Stores& stores, int store, exchange::Speech speech,
+                                             int fd) override {
+    return std::make_unique<Faulty>(stores, store, speech, fd, early);
+  }
+  std::size_t atOnce() const override { return 1; }
+  const bool early;
+};
+
+// Its job ends all the same, and nothing of the connection is left.
+void storeFaults() {
+  for (bool early : {true, false}) {
+    Pair p(std::make_unique<FaultyVoice>(early));
+    std::printf("a fault %s: ", early ? "as it comes up" : "as it serves");
+    p.ends();
+    p.pass();
+    std::printf("connections left: %zu, ended: %s\n", p.stores.connections(), p.done ? "yes" : "no");
+  }
+}
+
+const Case kCases[] = {{"cancelCrosses", cancelCrosses},
+                       {"endsUnseen", endsUnseen},
+                       {"endlessFrames", endlessFrames},
+                       {"storeFaults", storeFaults}};
 
 }  // namespace
 
