No connection is closed for room over a request that has come

Cause, by reading: Clients::closeLongest took whoever had been silent longest, though the rest of its request might stand unread in the kernel as its session had not had its turn yet; the close reset it. Now what has come is read first, and one that has spoken is passed over. Test roomForOne: the front stands still, a new client and then the rest of a request come, no place is free; without the mend the request's connection was closed with no answer.

--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -110,8 +110,17 @@
 }
 
 void Clients::closeLongest(std::list<Session*>& among) {
-  Session* s = among.front();
-  among.pop_front();
+  // Danger: the rest of a request may have come, though its session has not had its turn yet; the close would
+  // reset it.
+  auto silent = [&](Session* s) {
+    if (&among == &dismissed_ || s->more(s->in.size() + kMostAhead) != sched::Socket::Got::some) return true;
+    s->socket.in.set();
+    return false;
+  };
+  auto it = std::find_if(among.begin(), among.end(), silent);
+  if (it == among.end()) it = among.begin();
+  Session* s = *it;
+  among.erase(it);
   s->waits = nullptr;
   s->socket.close();
 }
--- a/tests/races.cpp
+++ b/tests/races.cpp
@@ -477,6 +477,26 @@
   std::printf("one that reads nothing is ended: %s\n", yes(ended));
 }
 
+// The rest of a request comes behind a client for whom there is no room but its own.
+void roomForOne() {
+  Drive d(1, 64);
+  Client slow(d);
+  slow.ask(Client::read("a"));
+  std::string text = pg::query(Client::write("b", 3000, "once"));
+  slow.send(text.substr(0, 20));
+  std::vector<std::unique_ptr<Client>> silent;
+  for (int k = 0; k < 26; ++k) silent.push_back(std::make_unique<Client>(d));
+  d.pass(100);  // all have been silent for long enough
+  d.stop();
+  Client last(d, false);
+  last.send(pg::startup("web", "orders") + pg::query(Client::read("c")));
+  slow.send(text.substr(20));
+  comes(d, [&] { return d.faced(d.port, true).unread > 0; });
+  d.goOn();
+  std::printf("the rest of a request, behind one that needs room: %s\n", slow.get().c_str());
+  std::printf("that one: %s\n", last.get(2).c_str());
+}
+
 // Connections that the kernel has taken in and the front has not, as it is told to end: they wait for the
 // list.
 void termUnaccepted() {
@@ -536,6 +556,7 @@
                        {"lastWord", lastWord},
                        {"readsSlowly", readsSlowly},
                        {"termUnaccepted", termUnaccepted},
+                       {"roomForOne", roomForOne},
                        {"fullHouse", fullHouse}};
 
 }  // namespace
