--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -313,7 +313,7 @@
     std::size_t from = line.find(std::string(" ") + name + "=");
     return from == std::string::npos ? -1 : std::atoi(line.c_str() + from + std::strlen(name) + 2);
   };
-  for (const char* name : {"taken", "open", "completed", "rejected", "aborted"})
+  for (const char* name : {"taken", "open", "completed", "rejected", "aborted", "answered", "client_gone"})
     std::printf("%s %d\n", name, value(name));
   std::printf("executions: %s\n", value("executions") == d.sent ? "as stores saw" : line.c_str());
   std::printf("probes: %s\n", value("probes") > 0 ? "some" : "none");
