--- a/src/doors/pg/talk.cpp
+++ b/src/doors/pg/talk.cpp
@@ -32,6 +32,10 @@
     return waits_ || replies_.back().last || replies_.size() >= door_.pipeline.statements ||
            door_.kept > door_.pipeline.bytes || !door_.desk.roomy();
   }
+  std::size_t kept() const override {
+    auto waits = [](const Reply& r) { return r.done && r.until > kNever; };
+    return static_cast<std::size_t>(std::count_if(replies_.begin(), replies_.end(), waits));
+  }
   void left() override {
     for (auto all = std::exchange(replies_, {}); const Reply& r : all)
       if (r.stmt >= 0) door_.desk.left(r.stmt);
@@ -69,8 +73,9 @@
   struct Reply {
     int stmt = -1;
     bool write = false;
-    bool done = false;  // `bytes` are the whole of it
-    bool last = false;  // the connection ends behind it
+    bool done = false;         // `bytes` are the whole of it
+    bool last = false;         // the connection ends behind it
+    TimePoint until = kNever;  // that its client waits, for the answer to a statement
     std::string bytes;
   };
 
@@ -91,7 +96,10 @@
       replies_.pop_front();
       ++first_, waits_ = false;
       keep(kept_ - r.bytes.size());
-      if (!r.bytes.empty()) line_.say(std::move(r.bytes));
+      if (r.until > kNever)
+        line_.answer(std::move(r.bytes), r.until);
+      else if (!r.bytes.empty())
+        line_.say(std::move(r.bytes));
       if (r.last) line_.end();
     }
   }
@@ -161,13 +169,15 @@
     exchange::Taken taken;
     taken.speech = door_.speech;
     taken.came = came;
-    if (auto reply = door_.takeIn.read(text, door_.scheduler.now(), door_.scheduler.wall(), taken)) return say(std::move(*reply));
+    if (auto reply = door_.takeIn.read(text, door_.scheduler.now(), door_.scheduler.wall(), taken))
+      return say(std::move(*reply));
     bool write = door_.takeIn.writes(taken.arrival.workload);
     // Danger: a read that overtakes the write before it would not see it, nor a write the one before it.
     waits_ = std::any_of(replies_.begin(), replies_.end(), [&](const Reply& r) { return write || r.write; });
     if (waits_) return void(used = 0);
     int ticket = first_ + static_cast<int>(replies_.size());
-    replies_.emplace_back().write = write;
+    Reply& r = replies_.emplace_back();
+    r.write = write, r.until = taken.came + taken.timeout;
     int stmt = door_.desk.admit(std::move(taken), *this, ticket);
     if (stmt >= 0) replies_.back().stmt = stmt;  // otherwise it has its answer already
   }
--- a/src/peers/clients.h
+++ b/src/peers/clients.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "exchange/exchange.h"
 #include "peers/arrivals.h"
@@ -26,6 +27,8 @@
  public:
   virtual ~Line() = default;
   virtual void say(std::string bytes) = 0;  // to the client, in order
+  // The whole answer to one statement, whose client waits for it until then; in the same order.
+  virtual void answer(std::string bytes, TimePoint until) = 0;
   virtual void end() = 0;                   // what was said was the last; it is given time to read it
   virtual void cut() = 0;                   // closes at once
 };
@@ -40,6 +43,7 @@
   virtual bool greeted() const = 0;
   virtual std::size_t owed() const = 0;  // answers to statements
   virtual bool full() const = 0;         // takes no message before an answer has gone
+  virtual std::size_t kept() const { return 0; }  // whole answers to statements that wait for their turn
   virtual void part(Parting why) = 0;    // says the last word
   virtual void left() = 0;               // its client has gone: what is owed is wanted no more
 };
@@ -57,7 +61,7 @@
   struct Limits {
     std::size_t sessions = 0;
     Span linger;    // that a refused client is given to read why
-    Span patience;  // that a client is given to read an answer
+    Span patience;  // that a client is given to read a part of what was said
     Span grace;     // within which one that has just come is likely to speak
     Span silence;   // that a client is given to say what it wants, and to finish a message
     Span idle;      // after which an idle connection goes where many are held
@@ -65,7 +69,7 @@
     std::size_t bytes = 0;  // that the buffers of all sessions together may hold
   };
 
-  Clients(sched::Scheduler& s, Door& door, Limits limits);
+  Clients(sched::Scheduler& s, Door& door, exchange::Account& account, Limits limits);
   ~Clients();
 
   // Returns the port; throws where the address can't be had. Whoever comes waits in the kernel until open(); from
@@ -76,16 +80,21 @@
   // From now on sessions end when they are idle, at once or after their answer.
   void sendAway();
   std::size_t sessions() const { return sessions_.size(); }
+  std::size_t saying() const;  // answers to statements that the kernel has not taken whole yet
 
  private:
   class Session;
 
   sched::Task<> accept();
+  void begin(int fd, TimePoint since);
   sched::Task<> serve(std::unique_ptr<Session> s, bool turnAway);
+  sched::Task<> converse(Session& s);
+  void settle(Session& s);
   sched::Task<bool> readMore(Session& s);  // false: the session is over
   sched::Task<> answerOwed(Session& s);    // until it takes messages again
   sched::Task<> letRead(Session& s);
-  sched::Task<bool> wait(Session& s, std::list<Session*>& among, TimePoint until);
+  sched::Task<bool> wait(Session& s, sched::Event& on, std::list<Session*>& among, TimePoint until);
+  sched::Task<bool> flush(Session& s);
   bool makeRoom();
   void closeLongest(std::list<Session*>& among);  // the one that has waited longest; there is one
   std::size_t held() const;  // bytes, in the buffers of all sessions
@@ -93,6 +102,7 @@
 
   sched::Scheduler& scheduler_;
   Door& door_;
+  exchange::Account& account_;
   Limits limits_;
   std::unique_ptr<sched::Descriptor> listener_;
   std::list<Session*> sessions_;
--- a/tests/pg_client.h
+++ b/tests/pg_client.h
@@ -1,6 +1,7 @@
 // A client of a front in PostgreSQL's protocol, under a test's hand.
 #pragma once
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cstdio>
@@ -50,10 +51,19 @@
 
 class Client {
  public:
-  explicit Client(Drive& drive, bool greet = true) : d(drive) {
-    socket = d.dial(d.port);
+  // `narrow`: little is on the way to it that it hasn't read.
+  explicit Client(Drive& drive, bool greet = true, bool narrow = false) : d(drive) {
+    socket = narrow ? d.dial(d.port, narrowTo) : d.dial(d.port);
     if (greet) send(pg::startup("web", "orders")), get(1);
   }
+  static int narrowTo(const sockaddr_in& a) {
+    int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0), room = 32 * 1024,
+        segment = 536;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
+    setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+    connect(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a);
+    return fd;
+  }
   void send(std::string_view bytes) { d.put(*socket, bytes); }
   // Waits for so many ReadyForQuery, or for the end; what came, in words.
   std::string get(int readies = 1) {
