A list of 1,024 stores is taken at 32 MB, indented and with long ids

Need: the list's body had a sixty-fourth of the memory, so half a megabyte of 32; 1,024 entries with ids of 60 characters, a second protocol's address and usual indentation have more, and the front went on without a list. And the values that a text becomes were not bounded at all: half a megabyte of "[]," took the front to 33.9 MB. Change: the body may have a sixteenth, its values twice that, counted as they are begun; the body is not copied on its way.

--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -13,10 +13,12 @@
 
 constexpr std::size_t kMost = 256 * 1024;
 
-sockaddr_in loopback(std::uint16_t port) {
-  return *sched::parseAddress("127.0.0.1:" + std::to_string(port), true);
+sockaddr_in at(const std::string& host, std::uint16_t port) {
+  return *sched::parseAddress(host + ":" + std::to_string(port), true);
 }
 
+sockaddr_in loopback(std::uint16_t port) { return at("127.0.0.1", port); }
+
 std::string row(const std::string& value) {
   std::string described("\0\1payload\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\1", 28);
   std::string data("\0\1", 2);
@@ -42,7 +44,7 @@
   for (char c : json) {
     text ^= c == '"';
     bool joint = !text && std::string_view("{}[],:").find(c) != std::string_view::npos;
-    out += joint ? std::string("\n\t  ") + c + " \r\n" : std::string(1, c);
+    out += joint ? std::string("\n\t\t\t\t        ") + c + " \r\n" : std::string(1, c);
   }
   return out;
 }
@@ -53,7 +55,7 @@
 
 int Toy::addStore(bool primary, int group, std::uint16_t port) {
   auto store = std::make_unique<Store>();
-  store->listener = std::make_unique<sched::Descriptor>(scheduler_, sched::listenOn(loopback(port)));
+  store->listener = std::make_unique<sched::Descriptor>(scheduler_, sched::listenOn(at(host_, port)));
   store->port = static_cast<std::uint16_t>(sched::portOf(store->listener->fd()));
   store->primary = primary;
   store->group = group;
@@ -63,13 +65,26 @@
   return number;
 }
 
+int Toy::addAlias(int of) {
+  int number = static_cast<int>(stores_.size());
+  auto store = std::make_unique<Store>();
+  const Store& same = *stores_[static_cast<std::size_t>(of)];
+  store->port = same.port, store->group = same.group;
+  store->host = "127.100." + std::to_string(number / 200) + "." + std::to_string(1 + number % 200);
+  store->id = "toy-" + std::to_string(number) + "-";
+  store->id.append(60 - store->id.size(), 'x');
+  stores_.push_back(std::move(store));
+  return number;
+}
+
 int Toy::executions(int store) const { return stores_[static_cast<std::size_t>(store)]->executions; }
 
 std::string Toy::member(int number) const {
   const Store& s = *stores_[static_cast<std::size_t>(number)];
-  return "{\"id\":\"" + idOf(number) + "\",\"addr\":\"127.0.0.1:" + std::to_string(s.port) +
+  return "{\"id\":\"" + idOf(number) + "\",\"addr\":\"" + s.host + ":" + std::to_string(s.port) +
          "\"," + (s.cqlPort ? "\"addrs\":{\"cassandra\":\"127.0.0.1:" + std::to_string(s.cqlPort) + "\"}," : "") +
-         "\"zone\":\"a\",\"kind\":\"toy\",\"cell\":" + std::to_string(s.group) + ",\"state\":\"" +
+         (s.id.empty() ? "" : "\"addrs\":{\"another-protocol\":\"" + s.host + ":" + std::to_string(s.port) + "\"},") +
+         "\"zone\":\"a\",\"kind\":\"toy" + (s.id.empty() ? "" : s.id) + "\",\"cell\":" + std::to_string(s.group) + ",\"state\":\"" +
          s.state + "\",\"weight\":1.0,\"started_ms\":" + std::to_string(s.startedMs) + ",\"access\":\"" +
          (s.primary ? "writer" : "reader") + "\"}";
 }
--- a/example/toy.h
+++ b/example/toy.h
@@ -17,11 +17,14 @@
 
 class Toy {
  public:
-  explicit Toy(sched::Scheduler& s) : scheduler_(s) {}
+  // `host`: where its stores listen; all of this machine's addresses where they have aliases.
+  explicit Toy(sched::Scheduler& s, const char* host = "127.0.0.1") : scheduler_(s), host_(host) {}
   ~Toy();
 
   // A store at an address of the system's choice on 127.0.0.1, or at the given port; its number.
   int addStore(bool primary, int group, std::uint16_t port = 0);
+  // Another entry of the list, with a long id, that is this very store at another address of this machine.
+  int addAlias(int of);
   // Opens its port for Cassandra's protocol; the list names it from now on.
   void speakCql(int store, std::uint16_t port = 0);
   std::uint16_t port(int store) const { return stores_[static_cast<std::size_t>(store)]->port; }
@@ -60,7 +63,10 @@
   void indentList(bool so) { indented_ = so; }
 
   std::string roster() const;  // the whole list
-  std::string idOf(int store) const { return "toy-" + std::to_string(store); }
+  std::string idOf(int store) const {
+    const std::string& id = stores_[static_cast<std::size_t>(store)]->id;
+    return id.empty() ? "toy-" + std::to_string(store) : id;
+  }
   int executions(int store) const;
   std::size_t connections(int store) const { return stores_[static_cast<std::size_t>(store)]->connections.size(); }
 
@@ -75,6 +81,7 @@
  private:
   struct Store {
     std::uint16_t port = 0, cqlPort = 0;
+    std::string host = "127.0.0.1", id;
     int group = 0;
     bool primary = false, held = false, holdsBack = false;
     std::string state = "up";
@@ -118,6 +125,7 @@
   sched::Task<> answerListCalls(sched::Socket& s);
 
   sched::Scheduler& scheduler_;
+  const char* host_;
   std::vector<std::unique_ptr<Store>> stores_;
   std::unique_ptr<sched::Descriptor> list_;
   std::vector<std::pair<std::int64_t, int>> changes_;  // version and store
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -18,8 +18,9 @@
 // PROTOCOL: clients hold a third of the descriptors at most for what they ask; half of that may stand idle.
 constexpr std::size_t kIdlePart = 6;
 // Memory, as parts of what is allowed: buffers of clients, answers on their way from stores and one row of them,
-// statements in hand with what they usually need, and the list as it comes, which grows tenfold when it is read.
-constexpr std::size_t kClientPart = 4, kAnswerPart = 4, kRowPart = 32, kStatementPart = 2, kListPart = 64;
+// statements in hand with what they usually need, and the list as it comes: 2 MB of 32, or 2 KB for each of 1,024
+// stores, and twice as much for its values while it is read.
+constexpr std::size_t kClientPart = 4, kAnswerPart = 4, kRowPart = 32, kStatementPart = 2, kListPart = 16;
 // PROTOCOL: after SIGTERM clients keep coming for 0.2 to 0.4 s, and what arrives up to 0.7 s after it counts.
 constexpr Span kStillComing{550'000};
 // What is taken later than that after SIGTERM may not have its answer before the process is killed.
--- a/src/http/response.h
+++ b/src/http/response.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace reedchute::http {
 
@@ -25,6 +26,7 @@
   int status() const { return status_; }
   bool keepsOpen() const { return keepsOpen_; }
   const std::string& body() const { return body_; }
+  std::string takeBody() { return std::move(body_); }
   const std::string& why() const { return why_; }
 
  private:
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -170,6 +170,9 @@
 
 bool Reader::begin(char c) {
   token_.clear();
+  // Danger: an empty list has two bytes in the text and fifty times as many here.
+  held_ += sizeof(Level);
+  if (held_ > most_) return fail("more values than memory allows");
   if (c == '{' || c == '[') {
     if (stack_.size() >= kDeepest) return fail("too deep");
     stack_.emplace_back();
@@ -251,8 +254,8 @@
   }
 }
 
-bool parse(std::string_view text, Value& into, std::string& why) {
-  Reader r;
+bool parse(std::string_view text, Value& into, std::string& why, std::size_t most) {
+  Reader r(most);
   bool good = r.feed(text) && r.finish();
   why = r.why();
   if (good) into = r.take();
--- a/src/json/json.h
+++ b/src/json/json.h
@@ -1,6 +1,7 @@
 // An incremental JSON reader: fed bytes as they come, it builds one value. No I/O.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -24,6 +25,9 @@
 
 class Reader {
  public:
+  // `most`: bytes that the values may take, however short their text.
+  explicit Reader(std::size_t most = SIZE_MAX) : most_(most) {}
+
   // False once the input can't be JSON any more; `why` then says so.
   bool feed(std::string_view bytes);
   // Call at the end of the input: true when exactly one whole value was read.
@@ -61,6 +65,7 @@
   bool fail(const char* why);
   void addCode();
 
+  std::size_t most_, held_ = 0;
   State state_ = State::value;
   std::vector<Level> stack_;
   std::string token_;
@@ -72,6 +77,6 @@
 };
 
 // A whole text at once.
-bool parse(std::string_view text, Value& into, std::string& why);
+bool parse(std::string_view text, Value& into, std::string& why, std::size_t most = SIZE_MAX);
 
 }  // namespace reedchute::json
--- a/src/peers/list.cpp
+++ b/src/peers/list.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::int64_t kMostWaitMs = 60'000;    // the service allows no more
 constexpr std::size_t kMostInARow = 64 * 1024;  // bytes of an answer before others have their turn
+constexpr std::size_t kValuesPart = 2;          // times its body that a list may take as values
 
 const char* readMember(const json::Value& v, Member& m) {
   auto text = [&](const char* name, std::string& to) {
@@ -189,7 +190,7 @@
   json::Value value;
   Roster roster;
   std::string why;
-  if (!json::parse(body, value, why) || !readRoster(value, roster, why)) {
+  if (!json::parse(body, value, why, mostBody_ * kValuesPart) || !readRoster(value, roster, why)) {
     log::line("list_bad", "what=\"%s\"", why.c_str());
     return false;
   }
@@ -260,7 +261,7 @@
     log::line("list_bad", "status=%d what=\"%s\"", response.status(), response.why().c_str());
     co_return false;
   }
-  body = response.body();
+  body = response.takeBody();
   co_return true;
 }
 
--- a/tests/drive.h
+++ b/tests/drive.h
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <memory>
@@ -44,12 +45,15 @@
  public:
   explicit Drive(int stores, int sockets = 256, const char* mode = "automatic", const char* firstList = "",
                  bool logStands = false, int memoryMb = 64, const char* keepalive = "15000000",
-                 std::string doors = "")
-      : toy(s), mode_(mode), memoryMb_(memoryMb), keepalive_(keepalive), logStands_(logStands), doors_(std::move(doors)) {
+                 std::string doors = "", int aliases = 0)
+      : toy(s, aliases ? "0.0.0.0" : "127.0.0.1"), mode_(mode), memoryMb_(memoryMb), keepalive_(keepalive), logStands_(logStands), doors_(std::move(doors)) {
     for (int k = 0; k < stores; ++k) {
       toy.addStore(k == 0, 7);
       if (!doors_.empty()) toy.speakCql(k);
     }
+    // The last store stands behind all further entries of the list.
+    for (int k = 0; k < aliases; ++k) toy.addAlias(stores - 1);
+    if (aliases) toy.indentList(true);
     listPort_ = toy.serveList();
     toy.spoilList(firstList);
     toy.seen = [this](int store, const std::string& text) {
@@ -202,6 +206,12 @@
     return -1;
   }
 
+  // The descriptors that it holds now.
+  int descriptors() const {
+    std::filesystem::directory_iterator all("/proc/" + std::to_string(child_) + "/fd"), end;
+    return static_cast<int>(std::distance(all, end));
+  }
+
   sched::Scheduler s;
   toy::Toy toy;
   std::uint16_t port = 0, cqlPort = 0;
--- /dev/null
+++ b/tests/sizes.cpp
@@ -0,0 +1,80 @@
+// As many stores as there may be, before a front with the least that it is given.
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "pg_client.h"
+#include "trace.h"
+
+using namespace reedchute;
+using test::Case;
+using test::Client;
+using test::Drive;
+using test::runCase;
+
+namespace {
+
+const char* yes(bool so) { return so ? "yes" : "no"; }
+
+// 1,024 entries, indented, with long ids; 32 MB and 256 descriptors, of which 77 are for stores.
+void stores() {
+  Drive d(2, 256, "automatic", "", false, 32, "15000000", "", 1022);
+  std::printf("a list of 1,024 is taken: %s\n", yes(d.until("it is", [&] { return d.logged(" full=1 entries=1024"); })));
+  int most = 0, completed = 0, other = 0;
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int k = 0; k < 20; ++k) clients.push_back(std::make_unique<Client>(d));
+  for (int k = 0; k < 30; ++k) {
+    std::string key = "k" + std::to_string(k);
+    for (std::size_t c = 0; c < clients.size(); ++c)
+      clients[c]->send(pg::query(c % 5 == 0   ? Client::write(key)
+                                 : c % 5 == 1 ? Client::read(key, 3000, "near")
+                                              : Client::read(key)));
+    for (auto& c : clients) {
+      std::string got = c->get();
+      bool row = got.find("row") != std::string::npos;
+      ++(row ? completed : other);
+      if (!row) std::fprintf(stderr, "instead: %s\n", got.c_str());
+    }
+    most = std::max(most, d.descriptors());
+  }
+  std::printf("statements: %d completed, %d otherwise\n", completed, other);
+  std::fprintf(stderr, "at most %d KB and %d descriptors\n", d.peakKb(), most);
+  std::printf("within 32 MB: %s; within 256 descriptors: %s\n", yes(d.peakKb() <= 32 * 1024), yes(most <= 256));
+  int told = d.toy.executions(1);
+  d.toy.setState(700, "draining");
+  std::printf("a change is heard: %s\n", yes(d.until("it is", [&] { return d.logged(" full=0 entries=1"); })));
+  clients[2]->asks("and the next", Client::read("a"));
+  std::printf("replicas were used: %s\n", yes(told > 0));
+  clients.clear();
+  d.signal(SIGTERM);
+  d.exits();
+}
+
+// A list of half a megabyte that has a hundred and seventy thousand values in it.
+void noise() {
+  Drive d(2, 256, "automatic", "", false, 32);
+  std::string body = "{\"version\":9,\"full\":true,\"servers\":[[]";
+  while (body.size() < 520'000) body += ",[]";
+  body += "]}";
+  d.toy.spoilList("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  d.toy.setState(1, "draining");
+  std::printf("a list of nothing but brackets is refused: %s\n", yes(d.until("it is", [&] { return d.logged("list_bad"); })));
+  std::printf("the next is taken: %s\n", yes(d.until("it is", [&] { return d.logged("state=draining"); })));
+  std::fprintf(stderr, "at most %d KB\n", d.peakKb());
+  std::printf("within 32 MB: %s\n", yes(d.peakKb() <= 32 * 1024));
+}
+
+const Case kCases[] = {{"sizesStores", stores}, {"sizesNoise", noise}};
+
+}  // namespace
+
+// sizes PROGRAM CASE
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  if (argc > 1) test::program = argv[1];
+  return runCase(kCases, argc - 1, argv + 1);
+}
