A store for which no descriptor is left counts as not asked, and not as away

Cause: Stores::openOne made a connection without a descriptor where all places were taken, which ended its job as connectFailed: the module blocked a store that nobody had tried and doubted its zone, and the statement used up its executions in one moment and was rejected. With more stores than places the probes of the start took every one of them. Change: what finds no place waits in a line for the next connection that ends or has nothing to do, statements first; probes are made at most half of the connections at once. After 0.4 connect time-outs (a probe: one) it ends as moot, which says nothing about the store; of a probe the module is told that it was not asked (Rules::unasked). The same where the kernel has no descriptor or port. The longest idle connection is looked for among the connections, not among all pools.

--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -101,6 +101,7 @@
   Carrier* on = nullptr;        // the connection that it was given to
   std::size_t place = 0;        // among all jobs
   bool cancelled = false;
+  bool unplaced = false;  // this process had no descriptor for its connection: no word on the store
   // what came back
   Ending ending = Ending::moot;
   Answer answer;  // or an error in its place
--- a/src/peers/stores.cpp
+++ b/src/peers/stores.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr double kSettle = 0.01;  // connect time-outs that a connection is idle before it is a sure one
+// Where stores are more than descriptors: of the connections, those that may be made for probes at once; and connect
+// time-outs that a statement waits for a place. A probe waits for one.
+constexpr std::size_t kProbesPart = 2;
+constexpr double kStatementWaits = 0.4, kLooks = 0.1;
 
 }  // namespace
 
@@ -68,7 +72,7 @@
 void Stores::withdraw(int store) {
   for (Pool& pool : pools_[static_cast<std::size_t>(store)]) {
     // Danger: a connection may come up as late as the grace ends.
-    for (std::deque<Job*> left = std::exchange(pool.waiting, {}); Job * j : left) finish(j, Ending::moot);
+    for (std::list<Job*> left = std::exchange(pool.waiting, {}); Job * j : left) finish(j, Ending::moot);
   }
   std::vector<Carrier*> all = connections_;
   for (Carrier* c : all)
@@ -99,10 +103,12 @@
 
 bool Stores::closeLongestIdle() {
   Carrier* longest = nullptr;
-  for (auto& pools : pools_)
-    for (Pool& p : pools)
-      for (Carrier* c : p.ready)
-        if (c->jobs() == 0 && (!longest || c->idleSince < longest->idleSince)) longest = c;
+  auto idle = [&](Carrier* c) {
+    const std::vector<Carrier*>& ready = poolOf(*c).ready;
+    return c->jobs() == 0 && std::find(ready.begin(), ready.end(), c) != ready.end();
+  };
+  for (Carrier* c : connections_)
+    if ((!longest || c->idleSince < longest->idleSince) && idle(c)) longest = c;
   if (!longest) return false;
   unready(*longest);
   longest->close();
@@ -116,24 +122,87 @@
 }
 
 // Danger: statements that start together would each open a connection; one for as many as it carries is enough.
+bool Stores::wanted(const Pool& pool, Speech speech) const {
+  std::size_t each = atOnce(speech);
+  return static_cast<std::size_t>(pool.coming) < (pool.waiting.size() + each - 1) / each;
+}
+
+Stores::Line Stores::lineOf(const Pool& pool) {
+  bool statements = std::any_of(pool.waiting.begin(), pool.waiting.end(), [](const Job* j) { return j->stmt >= 0; });
+  return statements ? forStatements : forProbes;
+}
+
 void Stores::openWanted(int store, Speech speech) {
   Pool& pool = poolOf(store, speech);
-  std::size_t each = atOnce(speech);
-  if (static_cast<std::size_t>(pool.coming) < (pool.waiting.size() + each - 1) / each) openOne(store, speech);
+  if (!wanted(pool, speech) || openOne(store, speech)) return;
+  // Danger: a store for which this process has no descriptor left would count as one that can't be reached.
+  Line line = lineOf(pool);
+  if (std::exchange(pool.lined[line], true)) return;
+  lines_[line].emplace_back(store, speech);
+  if (!std::exchange(watching_, true)) scheduler_.spawn(watchLines());
+}
+
+// Danger: the process has only so many descriptors, and stores may be more; the longest idle connection makes room.
+// Probes of all of them at once would leave none to statements.
+bool Stores::place(Line line) {
+  auto probing = [](const Carrier* c) { return c->forProbe; };
+  if (line == forProbes && static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(), probing)) >=
+                               std::max<std::size_t>(1, limits_.connections / kProbesPart))
+    return false;
+  return connections_.size() < limits_.connections || closeLongestIdle();
 }
 
-void Stores::openOne(int store, Speech speech) {
-  int fd = -1;
+bool Stores::openOne(int store, Speech speech) {
   Pool& pool = poolOf(store, speech);
-  // Danger: the process has only so many descriptors; the longest idle connection makes room.
-  if (connections_.size() < limits_.connections || closeLongestIdle())
-    fd = pool.address ? sched::startConnect(*pool.address) : -1;
-  else
-    log::line("stores_crowded", "connections=%zu", connections_.size());
+  Line line = lineOf(pool);
+  if (!place(line)) return false;
+  bool lacking = false;
+  int fd = pool.address ? sched::startConnect(*pool.address, &lacking) : -1;
+  if (lacking) return false;
   auto c = voices_[static_cast<std::size_t>(speech)]->carrier(*this, store, speech, fd);
+  c->forProbe = line == forProbes;
   connections_.push_back(c.get());
   ++pool.coming, ++opened_;
   scheduler_.spawn(run(std::move(c)));
+  return true;
+}
+
+void Stores::placeFreed() {
+  for (Line line : {forStatements, forProbes})
+    while (!lines_[line].empty()) {
+      auto [store, speech] = lines_[line].front();
+      Pool& pool = poolOf(store, speech);
+      bool still = wanted(pool, speech) && lineOf(pool) == line;
+      if (still && !openOne(store, speech)) break;
+      lines_[line].pop_front();
+      pool.lined[line] = false;
+      openWanted(store, speech);  // where it wants more than one, it goes to the end
+    }
+}
+
+// Danger: what waits for a place would wait until its client's time is up, while other stores could be had.
+sched::Task<> Stores::watchLines() {
+  while (!lines_[forStatements].empty() || !lines_[forProbes].empty()) {
+    co_await sched::sleepUntil(scheduler_, scheduler_.now() + limits_.connectTimeout * kLooks);
+    TimePoint now = scheduler_.now();
+    std::vector<Job*> over;
+    for (const auto& line : lines_)
+      for (auto [store, speech] : line) {
+        // The first ones have their connections coming.
+        std::size_t coming = static_cast<std::size_t>(poolOf(store, speech).coming) * atOnce(speech), k = 0;
+        for (Job* j : poolOf(store, speech).waiting) {
+          Span waits = limits_.connectTimeout * (j->stmt >= 0 ? kStatementWaits : 1.0);
+          if (k++ >= coming && !j->unplaced && (now - j->begun >= waits || !due(*j))) j->unplaced = true, over.push_back(j);
+        }
+      }
+    for (Job* j : over) {
+      log::line("stores_crowded", "connections=%zu store=%d", connections_.size(), j->store);
+      poolOf(j->store, j->speech).waiting.remove(j);
+      finish(j, Ending::moot);
+    }
+    placeFreed();
+  }
+  watching_ = false;
 }
 
 bool Stores::due(const Job& j) const {
@@ -144,7 +213,7 @@
 }
 
 Job* Stores::nextFor(Carrier& c) {
-  std::deque<Job*>& waiting = poolOf(c).waiting;
+  std::list<Job*>& waiting = poolOf(c).waiting;
   while (!waiting.empty()) {
     Job* j = waiting.front();
     waiting.pop_front();
@@ -160,6 +229,8 @@
 void Stores::ready(Carrier& c) {
   std::vector<Carrier*>& ready = poolOf(c).ready;
   if (std::find(ready.begin(), ready.end(), &c) == ready.end()) ready.push_back(&c);
+  c.forProbe = false;
+  if (c.jobs() == 0) placeFreed();
 }
 
 void Stores::unready(Carrier& c) { std::erase(poolOf(c).ready, &c); }
@@ -200,6 +271,7 @@
   c.close();
   // Jobs that counted on this connection need another.
   openWanted(c.store, c.speech);
+  placeFreed();
 }
 
 }  // namespace reedchute::peers
--- a/src/peers/stores.h
+++ b/src/peers/stores.h
@@ -2,9 +2,12 @@
 // connection is its protocol's, which has a folder under src/doors and a row in the table of speeches.
 #pragma once
 
+#include <array>
 #include <deque>
+#include <list>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "exchange/exchange.h"
@@ -38,6 +41,7 @@
   const int store;
   const Speech speech;
   TimePoint idleSince{};  // when it last came to have no job
+  bool forProbe = false;  // it was made for a probe and has not been ready since
 };
 
 // How stores are spoken to in one speech.
@@ -108,9 +112,12 @@
   struct Pool {
     std::optional<sockaddr_in> address;
     std::vector<Carrier*> ready;  // the one used last at the end
-    std::deque<Job*> waiting;
+    std::list<Job*> waiting;
     int coming = 0;  // connections being made
+    std::array<bool, 2> lined{};  // it stands in these lines
   };
+  // Those that wait for a place: with statements, with probes alone.
+  enum Line { forStatements, forProbes };
 
   Pool& poolOf(int store, Speech speech) {
     return pools_[static_cast<std::size_t>(store)][static_cast<std::size_t>(speech)];
@@ -119,8 +126,13 @@
   std::size_t atOnce(Speech s) const { return voices_[static_cast<std::size_t>(s)]->atOnce(); }
   void closeIdle(Pool& pool);
   void openWanted(int store, Speech speech);
-  void openOne(int store, Speech speech);
+  bool wanted(const Pool& pool, Speech speech) const;
+  static Line lineOf(const Pool& pool);
+  bool place(Line line);                     // is there one for another connection?
+  bool openOne(int store, Speech speech);    // false where there is no place
   bool closeLongestIdle();
+  void placeFreed();
+  sched::Task<> watchLines();
   sched::Task<> run(std::unique_ptr<Carrier> c);
 
   sched::Scheduler& scheduler_;
@@ -129,6 +141,8 @@
   std::vector<exchange::Voice*> voices_;
   std::vector<std::vector<Pool>> pools_;  // by store and speech
   std::vector<Carrier*> connections_;
+  std::array<std::deque<std::pair<int, Speech>>, 2> lines_;  // of pools, in turn
+  bool watching_ = false;
   std::uint64_t opened_ = 0;
   std::vector<std::unique_ptr<Job>> jobs_;
 };
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -493,6 +493,10 @@
   }
 }
 
+void Rules::unasked(int s, TimePoint now) {
+  stores_.probing[s] = 0, stores_.probeDue[s] = now + smallestBound_ * kFirstPace;
+}
+
 void Rules::probed(int s, bool ok, const Report& report, TimePoint now) {
   stores_.probing[s] = 0;
   // Danger: one probe whose connection broke tells nothing; a replica unseen for long gets no bounded reads.
--- a/src/rules.h
+++ b/src/rules.h
@@ -241,6 +241,7 @@
   void resolved(int stmt, const Result& r, TimePoint now);
   void gone(int stmt);
   void probed(int store, bool ok, const Report& report, TimePoint now);
+  void unasked(int store, TimePoint now);  // its probe never left this front, for want of room here
   void woken();
   // Of a zone's usual traffic, how much this front is to bring its replicas, and may it try those found away?
   // Where nobody says so, all and yes. It is one more factor in the weight, and no word on freshness; writes
--- a/src/sched/socket.cpp
+++ b/src/sched/socket.cpp
@@ -133,11 +133,14 @@
   }
 }
 
-int startConnect(const sockaddr_in& to) {
+int startConnect(const sockaddr_in& to, bool* lacking) {
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (lacking) *lacking = fd < 0;
   if (fd < 0) return -1;
   noDelay(fd);
   if (connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) < 0 && errno != EINPROGRESS) {
+    // No port is left on this machine, or no memory.
+    if (lacking) *lacking = errno == EADDRNOTAVAIL || errno == EAGAIN || errno == ENOBUFS;
     close(fd);
     return -1;
   }
--- a/src/sched/socket.h
+++ b/src/sched/socket.h
@@ -48,7 +48,7 @@
 Task<bool> writeAll(Socket& s, std::string_view bytes, TimePoint until);
 
 // Starts a connection; the descriptor, or -1.
-int startConnect(const sockaddr_in& to);
+int startConnect(const sockaddr_in& to, bool* lacking = nullptr);
 
 // Waits for a started connection; false where it was refused or the time came first.
 Task<bool> connected(Socket& s, TimePoint until);
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -65,6 +65,7 @@
 void Book::ended(exchange::Job& job) {
   touch();
   TimePoint now = scheduler_.now();
+  if (job.stmt < 0 && job.unplaced) return rules_.unasked(job.store, now);
   if (job.stmt < 0) {
     // Danger: a store whose answer can't be read has answered; it is not away.
     bool answered = job.ending == Ending::ok || job.ending == Ending::spoilt || job.ending == Ending::invalid;
--- a/tests/sizes.cpp
+++ b/tests/sizes.cpp
@@ -13,6 +13,7 @@
 using test::Case;
 using test::Client;
 using test::Drive;
+using test::edits;
 using test::runCase;
 
 namespace {
@@ -67,7 +68,44 @@
   std::printf("within 32 MB: %s\n", yes(d.peakKb() <= 32 * 1024));
 }
 
-const Case kCases[] = {{"sizesStores", stores}, {"sizesNoise", noise}};
+// Of 64 descriptors 13 are for stores. Twenty-one replicas take connections and say nothing: each of them is probed.
+void places() {
+  edits = {{"\"connect_timeout\":250000", "\"connect_timeout\":2000000"}};
+  Drive d(22, 64);
+  d.toy.promote(21);  // the last of the list
+  for (int k = 0; k < 21; ++k) d.toy.hold(k, true);
+  d.killAndStart();
+  Client c(d);
+  int completed = 0;
+  for (int k = 0; k < 20; ++k) completed += c.ask(Client::write("a" + std::to_string(k))).find("row") != std::string::npos;
+  std::printf("all places wanted for probes that wait: %d of 20 writes completed\n", completed);
+}
+
+// Statements hold all of them; what finds none waits, and its store counts as away no more than before.
+void noPlace() {
+  Drive d(9, 64);
+  for (int k = 0; k < 10; ++k) Client(d).ask(Client::read("warm"));
+  int completed = 0, writes = 0;
+  for (int round = 0; round < 3; ++round) {
+    std::vector<std::unique_ptr<Client>> many;
+    int before = d.sent;
+    for (int k = 0; k < 16; ++k) {
+      many.push_back(std::make_unique<Client>(d));
+      many.back()->send(pg::query(Client::read("slow120", 5000)));
+    }
+    d.until("all places are held", [&] { return d.sent >= before + 13; });
+    writes += Client(d).ask(Client::write("w", 5000)).find("row") != std::string::npos;
+    for (auto& m : many) {
+      std::string got = m->get();
+      bool row = got.find("row") != std::string::npos;
+      completed += row;
+      if (!row) std::fprintf(stderr, "instead: %s\n", got.c_str());
+    }
+  }
+  std::printf("13 places, three times 16 slow reads and a write at once: %d reads and %d writes completed\n", completed, writes);
+}
+
+const Case kCases[] = {{"sizesStores", stores}, {"sizesPlaces", places}, {"sizesNoPlace", noPlace}, {"sizesNoise", noise}};
 
 }  // namespace
 
