--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -447,7 +447,7 @@
   if (!terms_.mayProbe) return;
   bool packed = many() && anyLongRead();
   for (GroupState& g : groups_) {
-    bool lost = !primaryUsable(g, now), writes = false;
+    bool lost = !primaryUsable(g, now), writes = false, unseen = false;
     double unplaced = 0, have = 0;
     int first = -1, rank = 0, hosts = packed ? hostsAtOnce(static_cast<int>(g.members.size())) : 0;
     for (int stmt : g.waiting) {
@@ -472,17 +472,20 @@
       if (!helps && !(lost && writes)) continue;
       if (stores_.position[s] == kNever || (!young && s != g.primary && usable(s, now)) || (lost && writes))
         due.emplace_back(supposedLag(s, rank <= hosts), s);
+      unseen |= !due.empty() && due.back().second == s && stores_.position[s] == kNever && !many();
     }
     // Danger: with many fronts, each with little traffic, probing all replicas costs more than the reads do.
     // There the one that lagged least when last seen is asked first, hosts of long reads last, one at a time.
     if (many()) std::shuffle(due.begin(), due.end(), chance_);
-    std::stable_sort(due.begin(), due.end(), [&](const auto& a, const auto& b) {
-      return std::pair(a.first, stores_.probeDue[a.second]) < std::pair(b.first, stores_.probeDue[b.second]);
-    });
     double flow = g.boundedRate * smallestBound_.seconds();
     bool wanted = !terms_.storesCheck && unplaced > 0 && !(many() && primaryRoom(g, first, now));
     double want = wanted ? 1 + kLead * (flow + unplaced * kSoft) : 0;
     if (many()) want = std::floor(want);
+    // Danger: of hundreds of replicas nearly all are due a look at all times, and most rounds ask none.
+    if (!unseen && (probeBudget_ < 1 || (have >= want && !(lost && writes && have < 1)))) continue;
+    std::stable_sort(due.begin(), due.end(), [&](const auto& a, const auto& b) {
+      return std::pair(a.first, stores_.probeDue[a.second]) < std::pair(b.first, stores_.probeDue[b.second]);
+    });
     for (auto [lag, s] : due) {
       bool fresh = stores_.position[s] == kNever && !many();
       if (!fresh && (probeBudget_ < 1 || (have >= want && !(lost && writes && have < 1)))) continue;
@@ -927,9 +930,12 @@
 
 void Rules::decide(TimePoint now, Writer& out) {
   if (terms_.mustAsk && askAt_ > kNever && askAt_ <= now) askAt_ = kNever, out.watchList();
+  Span gap;
+  double fade = 0;
   for (std::size_t s = 0; s < stores_.group.size(); ++s) {
     fillCold(static_cast<int>(s), now);
-    double fade = 1 - std::exp(-((now - stores_.faded[s]) / (smallestSlo_ * kForget)));
+    if (Span its = now - stores_.faded[s]; its != gap)  // nearly always the last one's
+      gap = its, fade = 1 - std::exp(-(its / (smallestSlo_ * kForget)));
     stores_.goodShare[s] += fade * (1 - stores_.goodShare[s]);
     stores_.speed[s] += fade * (1 - stores_.speed[s]);
     double back = std::min(1.0, firstLimit_);
