What stores have prepared shares one room, however many stores there are

Need: the Cassandra door kept up to 4,096 ids for each store; 1,024 stores with 200 texts each are 204,800 entries of 331 bytes (measured), 68 MB beside a limit of 32. Change: all stores share an eighth of the memory (12,483 entries of 32 MB); the one used least lately goes first, whichever store's it is, and that text is prepared there again when it is needed. Test: cqlPrepared with 1,024 stores; without the bound it keeps 204,800.

--- a/src/doors/cql/carrier.cpp
+++ b/src/doors/cql/carrier.cpp
@@ -22,7 +22,6 @@
 namespace {
 
 constexpr std::size_t kReadAtOnce = 64 * 1024;  // before what came is looked at
-constexpr std::size_t kPreparedMost = 4096;     // texts known of one store
 constexpr double kPreparePart = 1.0 / 8;        // of the jobs that a connection carries, that may be preparations
 constexpr double kLook = 0.02;  // connect time-outs between two looks at what others prepare
 constexpr int kAgain = 2;  // times that one execution prepares anew what its store has lost
@@ -479,7 +478,7 @@
 
 Voice::Known& Voice::known(int store) {
   double most = std::max(1.0, static_cast<double>(given_.storeStreams) * kPreparePart);
-  return known_.try_emplace(store, Known{StorePrepared(kPreparedMost), PreparePace(most)}).first->second;
+  return known_.try_emplace(store, room_, most).first->second;
 }
 
 std::unique_ptr<exchange::Carrier> Voice::carrier(peers::Stores& stores, int store, exchange::Speech speech, int fd) {
--- a/src/doors/cql/carrier.h
+++ b/src/doors/cql/carrier.h
@@ -11,7 +11,7 @@
 
 class Voice : public exchange::Voice {
  public:
-  Voice(const Given& given, int version) : given_(given), version_(version) {}
+  Voice(const Given& given, int version, StorePrepared::Room& room) : given_(given), version_(version), room_(room) {}
 
   std::unique_ptr<exchange::Carrier> carrier(peers::Stores& stores, int store, exchange::Speech speech,
                                              int fd) override;
@@ -20,6 +20,7 @@
 
   // What is known of one store, over all connections to it.
   struct Known {
+    Known(StorePrepared::Room& room, double most) : prepared(room), pace(most) {}
     StorePrepared prepared;
     PreparePace pace;
   };
@@ -30,6 +31,7 @@
  private:
   const Given& given_;
   const int version_;
+  StorePrepared::Room& room_;
   std::map<int, Known> known_;
 };
 
--- a/src/doors/cql/prepared.cpp
+++ b/src/doors/cql/prepared.cpp
@@ -65,26 +65,32 @@
 const StorePrepared::Known* StorePrepared::find(const std::string& id) {
   auto it = byId_.find(id);
   if (it == byId_.end()) return nullptr;
-  byUse_.splice(byUse_.begin(), byUse_, it->second);
+  room_.byUse_.splice(room_.byUse_.begin(), room_.byUse_, it->second);
   return &it->second->known;
 }
 
 void StorePrepared::learn(const std::string& id, Known known) {
   forget(id);
-  byUse_.push_front({id, std::move(known)});
-  byId_.emplace(id, byUse_.begin());
-  if (byId_.size() <= most_) return;
-  byId_.erase(byUse_.back().id);
-  byUse_.pop_back();
+  std::list<Place>& all = room_.byUse_;
+  all.push_front({this, id, std::move(known)});
+  byId_.emplace(id, all.begin());
+  if (all.size() <= room_.most_) return;
+  all.back().of->byId_.erase(all.back().id);
+  all.pop_back();
 }
 
 void StorePrepared::forget(const std::string& id) {
   auto it = byId_.find(id);
   if (it == byId_.end()) return;
-  byUse_.erase(it->second);
+  room_.byUse_.erase(it->second);
   byId_.erase(it);
 }
 
+void StorePrepared::forgetAll() {
+  for (const auto& [id, place] : byId_) room_.byUse_.erase(place);
+  byId_.clear();
+}
+
 void PreparePace::ends(bool well) {
   --out_;
   limit_ = well ? std::min(most_, limit_ + 1) : std::max(1.0, limit_ * kCut);
--- a/src/doors/cql/prepared.h
+++ b/src/doors/cql/prepared.h
@@ -51,27 +51,47 @@
   std::unordered_map<std::string_view, std::list<PreparedRef>::iterator> byId_;
 };
 
-// What one store has prepared, by the front's ids; bounded by their number.
+// What one store has prepared, by the front's ids. Danger: with hundreds of stores, what each may have prepared would
+// take all memory; all of them share one room, in which what was used least lately goes first.
 class StorePrepared {
  public:
   struct Known {
     std::string id, resultId;
   };
-  explicit StorePrepared(std::size_t most = 0) : most_(most) {}
+
+ private:
+  struct Place {
+    StorePrepared* of;
+    std::string id;
+    Known known;
+  };
+
+ public:
+  class Room {
+   public:
+    explicit Room(std::size_t mostBytes) : most_(mostBytes / kEntry) {}
+    std::size_t size() const { return byUse_.size(); }
+
+   private:
+    friend class StorePrepared;
+    static constexpr std::size_t kEntry = 336;  // bytes of an entry, its ids of 16 among them
+    std::size_t most_;
+    std::list<Place> byUse_;
+  };
+
+  explicit StorePrepared(Room& room) : room_(room) {}
+  ~StorePrepared() { forgetAll(); }
+  StorePrepared(const StorePrepared&) = delete;
+  StorePrepared& operator=(const StorePrepared&) = delete;
 
   const Known* find(const std::string& id);
   void learn(const std::string& id, Known known);
   void forget(const std::string& id);
-  void forgetAll() { byId_.clear(), byUse_.clear(); }
+  void forgetAll();
   std::size_t size() const { return byId_.size(); }
 
  private:
-  struct Place {
-    std::string id;
-    Known known;
-  };
-  std::size_t most_;
-  std::list<Place> byUse_;
+  Room& room_;
   std::unordered_map<std::string, std::list<Place>::iterator> byId_;
 };
 
--- a/src/front/protocols.cpp
+++ b/src/front/protocols.cpp
@@ -8,7 +8,8 @@
 namespace reedchute::front {
 namespace {
 
-constexpr std::size_t kPreparedPart = 32;  // of the memory, for the texts that clients have prepared
+// Of the memory: for the texts that clients have prepared, and for what stores have prepared, all together.
+constexpr std::size_t kPreparedPart = 32, kStoresPreparedPart = 8;
 
 class Postgres : public Protocol {
  public:
@@ -37,8 +38,9 @@
       : given_(*given.cassandra),
         storeIds_(g.storeIds),
         texts_(given.memory / kPreparedPart),
-        four_(given_, 4),
-        five_(given_, 5),
+        room_(given.memory / kStoresPreparedPart),
+        four_(given_, 4, room_),
+        five_(given_, 5, room_),
         speeches_{g.stores.add(four_), g.stores.add(five_)},
         door_(g.scheduler, g.desk, *this, given_,
               doors::cql::TakeIn(given_, given.names, g.groups, g.openIds, *given.chart, texts_), texts_, speeches_[0],
@@ -65,6 +67,7 @@
   doors::cql::Given& given_;
   const Index<std::string>& storeIds_;
   doors::cql::PreparedTexts texts_;
+  doors::cql::StorePrepared::Room room_;
   doors::cql::Voice four_, five_;
   std::vector<exchange::Speech> speeches_;
   doors::cql::Door door_;
--- a/tests/cql_units.cpp
+++ b/tests/cql_units.cpp
@@ -1,5 +1,6 @@
 // The Cassandra door's decisions, without sockets or clock: each case prints what was told and what was decided.
 #include <cstdio>
+#include <memory>
 
 #include "cql/request.h"
 #include "cql/wire.h"
@@ -142,12 +143,23 @@
               held->told[0].size());
   texts.schemaChanged();
   std::printf("bytes after a change of the schema: %zu for %zu\n", texts.bytes(), texts.size());
-  StorePrepared known(2);
+  StorePrepared::Room room(700);
+  StorePrepared known(room);
   known.learn("a", {"1", ""}), known.learn("b", {"2", ""}), known.find("a"), known.learn("c", {"3", ""});
   std::printf("a store's: a %d b %d c %d\n", known.find("a") != nullptr, known.find("b") != nullptr,
               known.find("c") != nullptr);
   known.learn("a", {"9", ""});
   std::printf("a is learnt anew: %s, %zu known\n", known.find("a")->id.c_str(), known.size());
+  StorePrepared::Room four(4 << 20);
+  std::vector<std::unique_ptr<StorePrepared>> stores;
+  for (int s = 0; s < 1024; ++s) {
+    stores.push_back(std::make_unique<StorePrepared>(four));
+    for (int t = 0; t < 200; ++t) stores.back()->learn(preparedId(std::to_string(t)), {std::string(16, 'i'), ""});
+  }
+  std::printf("1024 stores with 200 each, in 4 MB: %zu known; of the first %zu, of the last %zu\n", four.size(),
+              stores.front()->size(), stores.back()->size());
+  stores.pop_back();
+  std::printf("the last is forgotten: %zu known\n", four.size());
 }
 
 void pace() {
