--- a/bench/rounds.cpp
+++ b/bench/rounds.cpp
@@ -179,12 +179,20 @@
 
 }  // namespace
 
-int main() {
+// With PLAY STORES STEPS: that one alone, for a tool that counts instructions (the difference of two numbers of steps).
+int main(int argc, char** argv) {
   const Play plays[] = {{"one group", 0, 1, 300, 0},
                         {"groups of ten", 10, 1, 300, 0},
                         {"groups of ten, 300 fronts", 10, 300, 300, 0},
                         {"one group, 300 fronts", 0, 300, 300, 0},
                         {"one group, a fifth away", 0, 1, 300, 20}};
+  if (argc == 4) {
+    Driver d(plays[std::atoi(argv[1])], std::atoi(argv[2]));
+    for (int n = 0; n < std::atoi(argv[3]); ++n) d.step(true);
+    std::printf("%s: %llu statements, %llu rounds\n", plays[std::atoi(argv[1])].name,
+                static_cast<unsigned long long>(d.taken), static_cast<unsigned long long>(d.rounds));
+    return 0;
+  }
   std::printf("in %s; then in relation to 100 stores\n", counter >= 0 ? "thousands of instructions" : "microseconds");
   std::printf("play,stores,round,statement,idle_round,bytes_a_store,sent,probes,refused,round,statement,idle_round\n");
   for (const Play& play : plays) {
