The toy keeps the port of a store that is dead, so that it can come back

Cause: bothCold failed once in a whole run (179 of 180 passed): "can't listen: Address already in use". A store that is killed gave up its port, another process got it before revive(), and the front that the test had started stayed behind and held the test's pipe. It passed six times alone. Change: the port of a dead store stays bound without listening: connections are refused as before, and it is nobody else's.

--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -19,6 +19,15 @@
 
 sockaddr_in loopback(std::uint16_t port) { return at("127.0.0.1", port); }
 
+// A port that refuses connections and is nobody else's meanwhile.
+int keepPort(std::uint16_t port) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0), on = 1;
+  sockaddr_in a = loopback(port);
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  bind(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a);
+  return fd;
+}
+
 std::string row(const std::string& value) {
   std::string described("\0\1payload\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\1", 28);
   std::string data("\0\1", 2);
@@ -115,7 +124,12 @@
 void Toy::kill(int number) {
   Store& s = *stores_[static_cast<std::size_t>(number)];
   s.listener->close();
-  if (s.cqlListener) s.cqlListener->close();
+  // Danger: the port of one that is dead may become another process's, and it could not come back.
+  s.kept = std::make_unique<sched::Descriptor>(scheduler_, keepPort(s.port));
+  if (s.cqlListener) {
+    s.cqlListener->close();
+    s.cqlKept = std::make_unique<sched::Descriptor>(scheduler_, keepPort(s.cqlPort));
+  }
   for (sched::Socket* c : s.connections) c->close();
 }
 
@@ -126,6 +140,7 @@
   acceptStore(number);
   s.prepared.clear();
   if (s.cqlPort) speakCql(number, s.cqlPort);
+  s.kept.reset(), s.cqlKept.reset();
   changed(number);
 }
 
--- a/example/toy.h
+++ b/example/toy.h
@@ -91,6 +91,7 @@
     std::map<std::string, std::string> prepared;  // texts, by their ids here
     std::unique_ptr<sched::Descriptor> cqlListener;
     std::unique_ptr<sched::Descriptor> listener;
+    std::unique_ptr<sched::Descriptor> kept, cqlKept;  // its ports, while it is dead
     std::vector<sched::Socket*> connections;
     std::vector<sched::Socket*> idle;
   };
--- a/tests/zones_fleet.cpp
+++ b/tests/zones_fleet.cpp
@@ -297,7 +297,7 @@
 void killed() { killedAt(30, 3, true); }
 // By hand: a minute with sanitizers.
 void killedMore() { killedAt(100, 3, true); }
-// By hand: minutes.
+// By hand: a minute; 1,024 were not through after seven.
 void killedMost() { killedAt(350, 3, true); }
 
 const Case kCases[] = {{"fleetKilled", killed}, {"fleetKilledMore", killedMore}, {"fleetKilledMost", killedMost}};
