--- a/src/rules.h
+++ b/src/rules.h
@@ -244,6 +244,7 @@
   void resolved(int stmt, const Result& r, TimePoint now);
   void gone(int stmt);
   void probed(int store, bool ok, const Report& report, TimePoint now);
+  void unasked(int store, TimePoint now);  // its probe never left this front, for want of room here
   void woken();
   // The clock that positions are told in was set ahead by this, or below zero back.
   void clockStepped(Span ahead);
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -65,6 +65,7 @@
 void Book::ended(exchange::Job& job) {
   touch();
   TimePoint now = scheduler_.now();
+  if (job.stmt < 0 && job.unplaced) return rules_.unasked(job.store, now);
   auto pointOf = [&](std::optional<WallTime> position) -> std::optional<TimePoint> {
     if (!position) return std::nullopt;
     return scheduler_.wall().pointOf(*position);
--- a/tests/carrier.cpp
+++ b/tests/carrier.cpp
@@ -167,7 +167,8 @@
 // Frames that nobody asked for, as many as there are: whatever else the front has to do goes on beside them.
 void endlessFrames() {
   doors::cql::Given given;
-  Pair p(std::make_unique<doors::cql::Voice>(given, 4), true);
+  doors::cql::StorePrepared::Room room(1 << 20);
+  Pair p(std::make_unique<doors::cql::Voice>(given, 4, room), true);
   p.comes("CQL_VERSION");
   p.peer->write(std::string("\x84\0\0\0\2\0\0\0\0", 9));
   p.comes(std::string("\4\0\0\0\5", 5));
--- a/tests/drive.h
+++ b/tests/drive.h
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <memory>
@@ -45,12 +46,15 @@
  public:
   explicit Drive(int stores, int sockets = 256, const char* mode = "automatic", const char* firstList = "",
                  bool logStands = false, int memoryMb = 64, const char* keepalive = "15000000",
-                 std::string doors = "")
-      : toy(s), mode_(mode), memoryMb_(memoryMb), keepalive_(keepalive), logStands_(logStands), doors_(std::move(doors)) {
+                 std::string doors = "", int aliases = 0)
+      : toy(s, aliases ? "0.0.0.0" : "127.0.0.1"), mode_(mode), memoryMb_(memoryMb), keepalive_(keepalive), logStands_(logStands), doors_(std::move(doors)) {
     for (int k = 0; k < stores; ++k) {
       toy.addStore(k == 0, 7);
       if (!doors_.empty()) toy.speakCql(k);
     }
+    // The last store stands behind all further entries of the list.
+    for (int k = 0; k < aliases; ++k) toy.addAlias(stores - 1);
+    if (aliases) toy.indentList(true);
     listPort_ = toy.serveList();
     toy.spoilList(firstList);
     toy.seen = [this](int store, const std::string& text) {
@@ -181,8 +185,8 @@
     return all;
   }
   // A connection to a port of the front, once it is up.
-  std::unique_ptr<sched::Socket> dial(std::uint16_t to,
-                                      int connect(const sockaddr_in&) = sched::startConnect) {
+  static int connectTo(const sockaddr_in& at) { return sched::startConnect(at); }
+  std::unique_ptr<sched::Socket> dial(std::uint16_t to, int connect(const sockaddr_in&) = connectTo) {
     sockaddr_in at = *sched::parseAddress("127.0.0.1:" + std::to_string(to));
     auto socket = std::make_unique<sched::Socket>(s, connect(at));
     until("connected", [&] {
@@ -259,6 +263,12 @@
     return -1;
   }
 
+  // The descriptors that it holds now.
+  int descriptors() const {
+    std::filesystem::directory_iterator all("/proc/" + std::to_string(child_) + "/fd"), end;
+    return static_cast<int>(std::distance(all, end));
+  }
+
   sched::Scheduler s;
   toy::Toy toy;
   std::uint16_t port = 0, cqlPort = 0;
