--- a/tests/drive.h
+++ b/tests/drive.h
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -98,6 +99,10 @@
       throw std::runtime_error("no socketpair");
     while (logStands_ && send(fds[1], "full", 4, MSG_DONTWAIT) > 0) {
     }
+    // Danger: until the child is the front it has copies of the toy's sockets; one that is closed here meanwhile would go
+    // on reporting to what is gone. The pipe ends as the front begins.
+    int begins[2];
+    if (pipe2(begins, O_CLOEXEC) < 0) throw std::runtime_error("no pipe");
     child_ = fork();
     if (child_ == 0) {
       dup2(fds[1], 2);
@@ -106,6 +111,11 @@
       execl(program, program, "--settings", (path_ + ".hcl").c_str(), static_cast<char*>(nullptr));
       _exit(127);
     }
+    close(begins[1]);
+    char none;
+    while (read(begins[0], &none, 1) < 0 && errno == EINTR) {
+    }
+    close(begins[0]);
     close(fds[1]);
     fcntl(fds[0], F_SETFL, O_NONBLOCK);
     log_ = std::make_unique<sched::Socket>(s, fds[0]);
