--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -83,9 +83,11 @@
   if (!coarse_) {
     timespec t{left.us / 1'000'000, left.us % 1'000'000 * 1000};
     n = epoll_pwait2(epoll_, events, kEventsAtOnce, &t, nullptr);
-    coarse_ = n < 0 && errno == ENOSYS;
+    // Danger: where it is refused, as old filters do with what they don't know, it would be called in a loop.
+    coarse_ = n < 0 && errno != EINTR;
   }
   if (coarse_) n = epoll_wait(epoll_, events, kEventsAtOnce, static_cast<int>((left.us + 999) / 1000));
+  if (n < 0 && errno != EINTR) throw std::runtime_error("epoll can't be waited for");
   readClock();
   // Danger: a coroutine may close a descriptor whose events are still in hand, and its number may be used
   // again at once. So all events of a pass are noted before the first coroutine runs.
--- a/tests/shifted_clock.cpp
+++ b/tests/changed_machine.cpp
@@ -1,6 +1,9 @@
-// Loaded before the front by tests/clock.cpp: its wall clock is shifted by what a file says, eight bytes of
-// microseconds. The monotonic clock stays as it is, as it does where somebody sets a machine's clock.
+// Loaded into the front by tests/machine.cpp. SHIFTED_CLOCK names a file whose eight bytes are microseconds
+// by which the wall clock is shifted; the monotonic clock stays as it is, as it does where somebody sets a
+// machine's clock. With WAIT_REFUSED epoll_pwait2 is refused, as by a filter that doesn't know it.
 #include <fcntl.h>
+#include <signal.h>
+#include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/syscall.h>
 #include <sys/time.h>
@@ -8,6 +11,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
 #include <cstdint>
 #include <cstdlib>
 
@@ -50,4 +54,11 @@
   if (to) *to = now.tv_sec;
   return now.tv_sec;
 }
+
+int epoll_pwait2(int epoll, epoll_event* events, int most, const timespec* left, const sigset_t* signals) {
+  if (!std::getenv("WAIT_REFUSED"))
+    return static_cast<int>(syscall(SYS_epoll_pwait2, epoll, events, most, left, signals, _NSIG / 8));
+  errno = EPERM;
+  return -1;
+}
 }
--- a/tests/clock.cpp
+++ b/tests/machine.cpp
@@ -1,5 +1,6 @@
-// A front whose wall clock is set while it runs, ahead and back. It is set while the front stands still, so
-// that it finds the step together with what came meanwhile. Loaded into the front: tests/shifted_clock.cpp.
+// A front on a machine that changes under it: the wall clock is set ahead and back, while the front stands
+// still, so that it finds the step together with what came meanwhile; a system call is refused.
+// tests/changed_machine.cpp does it.
 #include <sys/mman.h>
 
 #include <atomic>
@@ -26,6 +27,15 @@
 
 const char* yes(bool so) { return so ? "yes" : "no"; }
 
+// Loads the library into the fronts that are started from now on.
+void change(const char* what, const char* how) {
+  setenv(what, how, 1);
+  setenv("LD_PRELOAD", library, 1);
+  // ASan asks to be the first that is loaded; nothing of its own is replaced here.
+  const char* had = std::getenv("ASAN_OPTIONS");
+  setenv("ASAN_OPTIONS", ((had ? std::string(had) + ":" : "") + "verify_asan_link_order=0").c_str(), 1);
+}
+
 // The front's wall clock, as far ahead of ours as is said; to be made before the front is.
 class FrontClock {
  public:
@@ -37,11 +47,7 @@
     if (map == MAP_FAILED) throw std::runtime_error("the file can't be mapped");
     shift_ = static_cast<std::atomic<std::int64_t>*>(map);
     shift_->store(ahead.us);
-    setenv("SHIFTED_CLOCK", path_, 1);
-    setenv("LD_PRELOAD", library, 1);
-    // ASan asks to be the first that is loaded; nothing of its own is replaced here.
-    const char* had = std::getenv("ASAN_OPTIONS");
-    setenv("ASAN_OPTIONS", ((had ? std::string(had) + ":" : "") + "verify_asan_link_order=0").c_str(), 1);
+    change("SHIFTED_CLOCK", path_);
   }
   ~FrontClock() {
     unsetenv("LD_PRELOAD");
@@ -162,14 +168,23 @@
   s.stepIsLogged();
 }
 
+// The exact wait is refused: the front takes the other one.
+void waitRefused() {
+  change("WAIT_REFUSED", "1");
+  Drive d(1);
+  Client c(d);
+  c.asks("a read", Client::read("a"));
+}
+
 const Case kCases[] = {{"clockAhead", clockAhead},
                        {"clockBack", clockBack},
                        {"clockStale", clockStale},
-                       {"clockSessions", clockSessions}};
+                       {"clockSessions", clockSessions},
+                       {"waitRefused", waitRefused}};
 
 }  // namespace
 
-// clock PROGRAM LIBRARY CASE
+// machine PROGRAM LIBRARY CASE
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
