A statement's last byte is written by its execution's time to leave

The look at the time came before a statement was worded, and where the kernel took only its first part the rest was written up to the end of the client's time: a bounded read, or a repeat at its window's edge, could leave too late. Now it is worded first, looked at and written at once; what the kernel doesn't take by `sendBy` ends as moot with its connection, and never ran.

heldUp (carrier) failed without: the job ended after 20 s, and in time with it.

--- a/src/doors/pg/carrier.cpp
+++ b/src/doors/pg/carrier.cpp
@@ -1,6 +1,7 @@
 #include "doors/pg/carrier.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "doors/pg/take_in.h"
@@ -137,7 +138,7 @@
 
   void learn(std::string_view payload, Job& to);
   void handOver(Job& to);
-  sched::Task<bool> perform();
+  sched::Task<bool> perform(std::optional<std::string_view> rest);
 };
 
 void Connection::learn(std::string_view payload, Job& to) {
@@ -182,19 +183,21 @@
   }
 }
 
-// Writes the job and reads its answer; false where the connection is of no more use. Sets the job's ending.
-sched::Task<bool> Connection::perform() {
+// Reads the answer to the job, of which `rest` is still to be written, if its connection holds; false where the
+// connection is of no more use. Sets the job's ending.
+sched::Task<bool> Connection::perform(std::optional<std::string_view> rest) {
   Job& j = *job;
-  bool written = false;
-  {
-    std::string bytes = wordsOf(j);
+  bool written = rest && rest->empty();
+  if (rest && !written) {
     writing = true;
-    written = co_await sched::writeAll(socket, bytes, j.until);
+    // Danger: a read whose last byte leaves too late is a stale one, a write's too late for its window a second effect.
+    written = co_await sched::writeAll(socket, *rest, std::min(j.until, j.sendBy));
     writing = false;
   }
   if (!written) {
     // Danger: a job that was called off while it was written says nothing about the store.
-    j.ending = j.cancelled ? Ending::moot : Ending::connectFailed;
+    bool stale = scheduler().now() >= j.sendBy;
+    j.ending = j.cancelled || stale ? Ending::moot : Ending::connectFailed;
     co_return false;
   }
   // Danger: from here on the store may have run it, whatever becomes of the connection.
@@ -299,12 +302,17 @@
       break;
     }
     Job* j = job;
+    std::string words = wordsOf(*j);
+    // Danger: the process may stand still anywhere; as little as can be lies between this look at the time and the
+    // write.
     if (!stores.due(*j)) {
       job = nullptr;
       stores.finish(j, Ending::moot);
       continue;
     }
-    bool sound = co_await perform();
+    std::optional<std::string_view> rest = socket.write(words);
+    if (rest && rest->empty()) std::string().swap(words);  // answers may take long
+    bool sound = co_await perform(rest);
     job = nullptr;
     stores.finish(j, j->ending);
     if (!sound) break;
--- a/tests/carrier.cpp
+++ b/tests/carrier.cpp
@@ -46,10 +46,10 @@
     job = give();
     peer = accepted();
   }
-  exchange::Job* give() {
+  exchange::Job* give(TimePoint sendBy = kForever) {
     auto j = std::make_unique<exchange::Job>();
     j->stmt = 1, j->execution = 0, j->store = 0, j->speech = spoken, j->request = &query;
-    j->begun = s.now(), j->until = s.now() + ms(20'000);
+    j->begun = s.now(), j->until = s.now() + ms(20'000), j->sendBy = sendBy;
     return stores.give(std::move(j));
   }
   std::unique_ptr<Socket> accepted() {
@@ -152,7 +152,28 @@
   }
 }
 
-const Case kCases[] = {{"cancelCrosses", cancelCrosses}, {"endsUnseen", endsUnseen}};
+// The kernel takes the first part of a statement and no more, as its store reads nothing: its last byte would leave
+// after the moment by which it has to.
+void heldUp() {
+  Pair p;
+  p.comes("orders");
+  p.peer->write(pg::greeting());
+  p.comes("SELECT 1");
+  p.peer->write(row() + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready());
+  p.ends();
+  p.done = false;
+  p.query.text += std::string(24 << 20, ' ');
+  TimePoint by = p.s.now() + ms(300);
+  p.give(by);
+  std::printf("held up while it is written: ");
+  p.ends();
+  std::printf("in time: %s\n", p.s.now() < by + ms(5000) ? "yes" : "no");
+  std::string in;
+  while (p.peer->read(in, 128 << 20) != Socket::Got::ended) p.pass();
+  std::printf("its store has all of it: %s\n", in.size() >= p.query.text.size() ? "yes" : "no");
+}
+
+const Case kCases[] = {{"cancelCrosses", cancelCrosses}, {"endsUnseen", endsUnseen}, {"heldUp", heldUp}};
 
 }  // namespace
 
