What a probe's answer says of its store's role beside the report is learned

Only the report was looked at; an answer that told the role counted as known and changed nothing.

The worlds have lists whose roles come late, more untrue reports, late answers and cuts.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -148,7 +148,7 @@
   if (e.listed != Listed::gone || terms_.goneBinds) S.listed[s] = e.listed;
   if (e.started && *e.started > S.started[s]) begins(s, *e.started, now), unblock(s), startedAnew(s, now);
   GroupState& g = groups_[e.group];
-  // Danger: a list that shows roles as at the start would name one that told otherwise and was forgotten since.
+  // Danger: a list with roles as at the start would name one that told otherwise and was forgotten since.
   if (e.primary && e.listed == Listed::up && S.role[s] == Role::unknown && g.primary != s &&
       (g.primary < 0 ? terms_.roleFollows || !g.moved
                      : terms_.roleFollows && (g.named == Named::byList || !usable(g.primary, now))))
@@ -360,9 +360,9 @@
   groups_[g].moved |= named != Named::byList;
 }
 
-// `at`: when the store was in that role. Danger: an answer may be read long after it was written, or overtake one
-// to what was sent later. As a primary's it counts from the send, as a replica's from now; a report from its
-// position.
+// `at`: when the store was in that role. Danger: an answer may be read long after it was written, or overtake
+// one to what was sent later. As a primary's it counts from the send, as a replica's from now; a report from
+// its position.
 void Rules::learnRole(int s, Role role, TimePoint at, bool byReport, TimePoint now) {
   if (role == Role::unknown || stores_.group[s] < 0) return;
   GroupState& g = groups_[stores_.group[s]];
@@ -376,7 +376,7 @@
     else if (g.primary == s && !(byReport && g.named == Named::byReport))
       g.named = Named::surely;
   } else {
-    // Danger: a report that passes for older than its last sight as primary may be new, of one that stood still.
+    // Danger: a report that seems older than its last sight as primary may be new, of one that stood still.
     doubtRole(s, now);
     if (at < stores_.primaryAt[s]) return;  // or it is old, and says nothing about a store promoted since
     stores_.role[s] = role;
@@ -385,16 +385,16 @@
   }
 }
 
-// Until it has answered as primary to what is sent from now on it gets writes, as one that a report alone names,
-// but no read that must be current.
+// Until it has answered as primary to what is sent from now on it gets writes, as one that a report alone
+// names, but no read that must be current.
 void Rules::doubtRole(int s, TimePoint now) {
   GroupState& g = groups_[stores_.group[s]];
   stores_.doubtedAt[s] = now;
   if (g.primary == s && g.named == Named::surely) g.named = Named::byReport;
 }
 
-// Danger: a primary that died comes back as a replica whose position stands where it was last seen as primary;
-// its reports would pass for older than that. Any report tells what it is, and its role is doubted.
+// Danger: a primary that died comes back as a replica whose position stands where it was last seen as
+// primary; its reports seem older than that. Any report tells what it is, and its role is doubted.
 void Rules::startedAnew(int s, TimePoint now) {
   stores_.primaryAt[s] = kNever;
   doubtRole(s, now);
@@ -509,8 +509,10 @@
   }
 }
 
-void Rules::probed(int s, bool ok, const Report& report, TimePoint now) {
+void Rules::probed(int s, bool ok, const Report& report, TimePoint now, Role role) {
   stores_.probing[s] = 0;
+  // Danger: what an answer says beside its report counts as known too, and the report may be older.
+  if (role == Role::replica) learnRole(s, role, now, false, now);
   // Danger: one probe whose connection broke tells nothing; a replica unseen for long gets no bounded reads.
   bool vain = (stores_.missed[s] = ok ? 0 : stores_.missed[s] + 1) > 1 || many();
   if (!ok) stores_.probeDue[s] = now + smallestBound_ * (vain ? kSlowestPace : kFirstPace);
@@ -863,7 +865,7 @@
   if (current && s != groups_[st.group].primary) {
     if (w.level == Level::bounded) leaveBy = std::min(leaveBy, stores_.position[s] + w.bound);
   } else if (current && terms_.knownAfter > Span{}) {
-    // Danger: meanwhile an answer may tell that this is no primary any more, and counts though it wasn't read.
+    // Danger: meanwhile an answer may tell that this is no primary any more, and counts though unread.
     leaveBy = std::min(leaveBy, now + terms_.knownAfter * kUnread);
   }
   out.send(stmt, s, st.giveUpAt, leaveBy);
--- a/src/rules.h
+++ b/src/rules.h
@@ -186,8 +186,8 @@
       if (array.size() <= s) array.resize(s + 1);
       array[s] = std::move(value);
     };
-    for (auto* never : {&started, &position, &primaryAt, &replicaAt, &doubtedAt, &reported, &probedAt, &renewal,
-                        &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt, &refusedAt,
+    for (auto* never : {&started, &position, &primaryAt, &replicaAt, &doubtedAt, &reported, &probedAt,
+                        &renewal, &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt, &refusedAt,
                         &crowdedAt})
       put(*never, kNever);
     for (auto* flag : {&inList, &probing, &down, &dead}) put(*flag, char{0});
@@ -243,7 +243,8 @@
   void arrived(int stmt, const Arrival& a, TimePoint now);
   void resolved(int stmt, const Result& r, TimePoint now);
   void gone(int stmt);
-  void probed(int store, bool ok, const Report& report, TimePoint now);
+  // `role`: what the answer itself says of its store, whatever its report does.
+  void probed(int store, bool ok, const Report& report, TimePoint now, Role role = Role::unknown);
   void woken();
   // Of a zone's usual traffic, how much this front is to bring its replicas, and may it try those found away?
   // Where nobody says so, all and yes. It is one more factor in the weight, and no word on freshness; writes
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -68,7 +68,7 @@
   if (job.stmt < 0) {
     // Danger: a store whose answer can't be read has answered; it is not away.
     bool answered = job.ending == Ending::ok || job.ending == Ending::spoilt || job.ending == Ending::invalid;
-    rules_.probed(job.store, answered, job.report, now);
+    rules_.probed(job.store, answered, job.report, now, job.role);
     return;
   }
   Statement& st = row(job.stmt);
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -33,7 +33,7 @@
 constexpr Span ms(double n) { return Span{static_cast<std::int64_t>(n * 1000)}; }
 constexpr TimePoint kBegin{1'000'000'000};
 constexpr Span kDay = ms(2500);
-constexpr Span kTick = ms(5), kConnect = ms(250), kReports = ms(80);
+constexpr Span kTick = ms(5), kConnect = ms(100), kReports = ms(80);
 constexpr Span kKnownAfter = ms(95);  // of arrival; it was written a little earlier
 enum Kind { kAny, kNear, kFar, kSession, kFresh, kWrite, kKinds };
 
@@ -80,6 +80,7 @@
     TimePoint told = kForever;  // since then the front counts as told that it is none
     TimePoint started = kNever;
     int life = 0;
+    std::vector<std::pair<TimePoint, bool>> roles;  // primary or not, from when on
     Report report;
     TimePoint reportMade;
     std::vector<std::function<void()>> held;  // answers behind a cut link
@@ -130,7 +131,7 @@
 
   Terms terms(std::uint64_t seed) {
     Terms t;
-    t.seed = seed, t.tick = kTick, t.fronts = chance(30) ? 100 : 2, t.maxExecutions = 6;
+    t.seed = seed, t.tick = kTick, t.fronts = chance(70) ? 2 : chance(70) ? 10 : 100, t.maxExecutions = 6;
     t.workloads.resize(kKinds);
     for (Workload& w : t.workloads) w.slo = ms(400), w.effect = Effect::idempotent, w.lateShare = 0.6;
     t.workloads[kNear].level = t.workloads[kFar].level = Level::bounded;
@@ -142,7 +143,9 @@
     t.roleFollows = chance(50), t.tokensCarried = chance(50);
     t.connectTimeout = kConnect, t.askEvery = ms(10'000), t.drainGrace = ms(500);
     t.coldRamp = ms(chance(50) ? 200 : 3000), t.coldWindow = ms(1000), t.coldFrom = 0.5, t.coldMultiple = 2.5;
-    sockets_ = chance(70);
+    sockets_ = chance(70), untrue_ = chance(20) ? 30 : 2, roleBeside_ = chance(25);
+    trail_ = between(0, 400), mostly_ = chance(50) ? static_cast<int>(below(9)) : -1,
+    late_ = chance(30) ? 30 : 8;
     if (sockets_) t.knownAfter = ms(100);
     follows_ = t.roleFollows, carried_ = t.tokensCarried, cancels_ = t.mayCancel;
     return t;
@@ -164,12 +167,14 @@
   void gains(int s) {
     Store& store = stores_[s];
     store.primary = store.claims = store.was = true, store.told = kForever, store.position = now_;
+    store.roles.emplace_back(now_, true);
     say("store %d is primary", s);
     listLater(s, true);
   }
   void loses(int s, bool claims) {
     Store& store = stores_[s];
     store.primary = false, store.claims = claims, store.lost = now_, store.told = kForever;
+    store.roles.emplace_back(now_, false);
     store.rate = claims ? 0 : pace(), store.behind = between(1, 60);
     say("store %d is primary no more%s", s, claims ? ", and doesn't know" : "");
     listLater(s, true);
@@ -194,6 +199,7 @@
       store.rate = pace(), store.behind = between(1, 60);
       store.shown = s % each == 0;
       if (store.shown) store.primary = store.claims = store.was = true, store.position = now_;
+      if (store.shown) store.roles.emplace_back(kNever, true);
       stores_.push_back(store);
       // Some fronts start when the role that the list shows has been lost already.
       if (store.shown && chance(20)) loses(s, false);
@@ -214,7 +220,7 @@
     int p = primaryOf(stores_[s].group);
     if (p >= 0 && chance(40)) s = p;
     Store& store = stores_[s];
-    switch (below(8)) {
+    switch (chance(mostly_ < 0 ? 0 : 70) ? mostly_ : static_cast<int>(below(9))) {
       case 0:
         if (store.up) crash(s);
         break;
@@ -227,22 +233,26 @@
         if (!store.primary) break;
         loses(s, true);
         promoteOne(store.group);
-        after(between(50, 900), [this, s, life = store.life] {
+        if (chance(70)) after(between(20, 150), [this, s] { cut(s, 200, 500); });
+        after(between(50, 400), [this, s, life = store.life] {
           if (stores_[s].life == life && !stores_[s].primary)
             stores_[s].claims = false, stores_[s].rate = pace();
         });
         break;
       case 3:
-        cut(s);
-        break;
       case 4:
+        cut(s, 30, 900);
+        break;
       case 5:
+      case 6:
         if (!store.primary && !store.claims) store.rate = pace(), store.behind = between(1, 120);
         break;
-      case 6:
+      case 7:
         listLater(s, false);
         break;
       default:
+        for (std::size_t k = 0; k < stores_.size() && chance(60); ++k)
+          if (stores_[k].shown && stores_[k].group == store.group) s = static_cast<int>(k);
         leave(s);
     }
   }
@@ -272,18 +282,18 @@
       listLater(s, true);
     });
   }
-  void cut(int s) {
+  void cut(int s, double least, double most) {
     Store& store = stores_[s];
     if (!store.linked) return;
     store.linked = false;
     say("store %d is cut off", s);
     if (store.primary && chance(60)) loses(s, chance(50)), promoteOne(store.group);
-    after(between(30, 900), [this, s] {
+    after(between(least, most), [this, s] {
       Store& back = stores_[s];
       back.linked = true;
       if (back.claims && !back.primary) back.claims = false, back.rate = pace();
       say("store %d is linked again", s);
-      for (auto& run : std::exchange(back.held, {})) after(between(0.2, 40), run);
+      for (auto& run : std::exchange(back.held, {})) after(between(0.2, 200), run);
     });
   }
   // It is gone from the list for long; its row in the module is another's from then on, or its own again.
@@ -292,7 +302,7 @@
     if (!store.up || store.primary || store.claims || store.gone || now_ < busy_) return;
     tellEntry(s, Listed::gone);
     store.gone = true;
-    after(between(50, 400), [this, s] { forget(s); });
+    after(between(400, 700), [this, s] { forget(s); });
   }
   void forget(int s) {
     Store& store = stores_[s];
@@ -305,9 +315,12 @@
     rules_.left(s, now_);
     if (chance(50)) {
       store.was = store.shown = false, store.said = store.lost = store.started = kNever, ++store.life;
-      store.position = now_ - between(5, 700), store.told = kForever;
+      store.position = now_ - between(5, 3000), store.told = kForever;
       makeSnapshot(s);
     }
+    // The list may name it again just as the role moves on.
+    int p = primaryOf(store.group);
+    if (p >= 0 && chance(50)) loses(p, false), promoteOne(store.group);
     after(between(1, 100), [this, s] {
       stores_[s].gone = false;
       tellEntry(s);
@@ -316,11 +329,17 @@
   }
 
   // ---- the list ----
+  bool shows(const Store& store) const {
+    bool primary = false;
+    for (auto [since, so] : store.roles)
+      if (since + trail_ <= now_) primary = so;
+    return primary;
+  }
   void tellEntry(int s, Listed listed = Listed::up) {
     const Store& store = stores_[s];
     if (store.gone) return;
     Entry e;
-    e.store = s, e.group = store.group, e.zone = 0, e.primary = follows_ ? store.primary : store.shown;
+    e.store = s, e.group = store.group, e.zone = 0, e.primary = follows_ ? shows(store) : store.shown;
     if (store.started > kNever) e.started = store.started;
     e.listed = !store.up && chance(50) ? Listed::gone : listed;
     say("listed: %d, primary %d, listed %d, started %.3f", s, e.primary, static_cast<int>(e.listed),
@@ -343,7 +362,7 @@
     Store& store = stores_[s];
     store.report = {store.position, store.claims}, store.reportMade = now_;
     // A report may claim the role untruly.
-    if (!store.claims && chance(3)) store.report.primary = true;
+    if (!store.claims && chance(untrue_)) store.report.primary = true;
   }
   void makeReport(int s) {
     if (stores_[s].up) makeSnapshot(s);
@@ -391,7 +410,7 @@
     ++rounds_;
     // In one pass nothing says which connection's answer is read first.
     std::vector<Fact> facts = std::exchange(inbox_, {});
-    std::shuffle(facts.begin(), facts.end(), chance_);
+    for (std::size_t k = facts.size(); k > 1; --k) std::swap(facts[k - 1], facts[below(k)]);
     for (const Fact& f : facts) read(f);
     for (int kind : std::exchange(waiting_, {})) admit(kind);
     for (auto [session, commit] : std::exchange(learned_, {}))
@@ -409,7 +428,7 @@
       if (f.report.position)
         say("read: probe of %d, at %.3f as %s", j.store, (*f.report.position - kBegin).seconds() * 1000,
             *f.report.primary ? "primary" : "replica");
-      return rules_.probed(j.store, f.ending == Ending::ok, f.report, now_);
+      return rules_.probed(j.store, f.ending == Ending::ok, f.report, now_, f.role);
     }
     Stmt& st = stmts_[j.stmt];
     Result r;
@@ -492,8 +511,7 @@
     if (!s.claims) f.tells = now_;
     if (job.stmt < 0) {
       f.report = s.report;
-      f.role = Role::unknown;
-      f.tells = *s.report.primary ? kNever : s.reportMade;
+      if (!roleBeside_) f.role = Role::unknown, f.tells = *s.report.primary ? kNever : s.reportMade;
       s.said = std::max(s.said, *s.report.position);
     } else if (stmts_[job.stmt].kind == kWrite && s.primary) {
       f.commit = now_;
@@ -507,11 +525,14 @@
       if (chance(3)) f.ending = Ending::error, f.position.reset();
       if (chance(30)) f.position.reset();
     }
+    if (job.stmt >= 0 && chance(20)) f.report = s.report, s.said = std::max(s.said, *s.report.position);
+    if (f.ending == Ending::miss && chance(20))
+      f.role = Role::unknown;  // a write turned away says it all the same
     auto go = [this, j, f] { arrives(j, f, Span{}); };
     if (!s.linked)
       s.held.push_back(go);
     else
-      after(chance(8) ? between(20, 400) : between(0.2, 3), go);
+      after(chance(late_) ? between(20, 400) : between(0.2, 3), go);
   }
   // A fact of a job has come to the front, or is one of its own.
   void arrives(int j, Fact f, Span later) {
@@ -576,6 +597,10 @@
   std::mt19937_64 chance_;
   Tally& tally_;
   const bool show_;
+  int untrue_ = 0;              // per cent of replicas' reports
+  int mostly_ = -1, late_ = 0;  // a trouble that comes again and again; per cent of answers that are late
+  Span trail_{};                // so late are roles in a list that follows them
+  bool roleBeside_ = false;     // probes' answers say their store's role beside the report
   bool sockets_ = true, follows_ = true, carried_ = true, cancels_ = true;
   Rules rules_;
   TimePoint now_ = kBegin, busy_ = kBegin;
