--- /dev/null
+++ b/tests/mutants/plant.sh
@@ -0,0 +1,19 @@
+#!/bin/sh
+# plant.sh MUTANT SOURCE OUT: writes SOURCE with the faults of MUTANT planted. In MUTANT, a line "- " holds what is
+# replaced by the next line, "+ "; it has to stand in SOURCE exactly once.
+exec awk -v out="$3" '
+  FNR == NR { if (/^- /) from[++n] = substr($0, 3); else if (/^\+/) to[n] = substr($0, 3); next }
+  { text = text $0 "\n" }
+  END {
+    for (k = 1; k <= n; ++k) {
+      at = index(text, from[k])
+      rest = substr(text, at + length(from[k]))
+      if (!at || index(rest, from[k])) {
+        print FILENAME ": stands there not once: " from[k] > "/dev/stderr"
+        exit 1
+      }
+      text = substr(text, 1, at - 1) to[k] rest
+    }
+    if (!n) exit 1
+    printf "%s", text > out
+  }' "$1" "$2"
