--- a/src/rules.h
+++ b/src/rules.h
@@ -186,8 +186,8 @@
       if (array.size() <= s) array.resize(s + 1);
       array[s] = std::move(value);
     };
-    for (auto* never : {&started, &position, &primaryAt, &replicaAt, &doubtedAt, &reported, &probedAt, &renewal,
-                        &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt, &refusedAt,
+    for (auto* never : {&started, &position, &primaryAt, &replicaAt, &doubtedAt, &reported, &probedAt,
+                        &renewal, &probeDue, &heard, &blockedUntil, &blockedAt, &freeAt, &cutAt, &refusedAt,
                         &crowdedAt})
       put(*never, kNever);
     for (auto* flag : {&inList, &probing, &down, &dead}) put(*flag, char{0});
@@ -243,8 +243,9 @@
   void arrived(int stmt, const Arrival& a, TimePoint now);
   void resolved(int stmt, const Result& r, TimePoint now);
   void gone(int stmt);
-  void probed(int store, bool ok, const Report& report, TimePoint now);
   void unasked(int store, TimePoint now);  // its probe never left this front, for want of room here
+  // `role`: what the answer itself says of its store, whatever its report does.
+  void probed(int store, bool ok, const Report& report, TimePoint now, Role role = Role::unknown);
   void woken();
   // The clock that positions are told in was set ahead by this, or below zero back.
   void clockStepped(Span ahead);
