--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -954,9 +954,9 @@
 
 void Rules::woken() { wakeAt_ = kNever; }
 
-// Danger: of what was read by the clock before and what is read by it now, one is wrong, and together they would
-// prove a stale read fresh. Positions count as the older, what reads in hand need as the later of both readings;
-// last commits, which are compared with positions alone, move with the clock.
+// Danger: of what was read by the clock before and what is read by it now, one is wrong, and together they
+// would prove a stale read fresh. Positions count as the older, what reads in hand need as the later of both
+// readings; last commits, which are compared with positions alone, move with the clock.
 void Rules::clockStepped(Span ahead) {
   Span older = std::max(ahead, Span{}), later = older - ahead;
   for (auto* known : {&stores_.position, &stores_.reported})
