--- a/tests/machine.cpp
+++ b/tests/machine.cpp
@@ -17,6 +17,7 @@
 using test::Case;
 using test::Client;
 using test::Drive;
+using test::yes;
 using test::edits;
 using test::runCase;
 
@@ -25,8 +26,6 @@
 const char* library = nullptr;
 constexpr Span kMinute{60'000'000};
 
-const char* yes(bool so) { return so ? "yes" : "no"; }
-
 // Loads the library into the fronts that are started from now on.
 void change(const char* what, const char* how) {
   setenv(what, how, 1);
--- a/tests/races.cpp
+++ b/tests/races.cpp
@@ -14,13 +14,12 @@
 using test::Case;
 using test::Client;
 using test::Drive;
+using test::yes;
 using test::edits;
 using test::ms;
 
 namespace {
 
-const char* yes(bool so) { return so ? "yes" : "no"; }
-
 // Waits until what was sent to the front stands there for it to see. The kernel's table may leave out a line
 // while others come and go: what is not there has to be so three times in a row.
 void comes(Drive& d, const std::function<bool()>& so) {
--- a/tests/sizes.cpp
+++ b/tests/sizes.cpp
@@ -13,13 +13,12 @@
 using test::Case;
 using test::Client;
 using test::Drive;
+using test::yes;
 using test::edits;
 using test::runCase;
 
 namespace {
 
-const char* yes(bool so) { return so ? "yes" : "no"; }
-
 // 1,024 entries, indented, with long ids; 32 MB and 256 descriptors, of which 77 are for stores.
 void stores() {
   Drive d(2, 256, "automatic", "", false, 32, "15000000", "", 1022);
--- /dev/null
+++ b/tests/soak/clients.cpp
@@ -0,0 +1,189 @@
+// Clients: each thread is one that asks over a connection to some front, in good and in bad manners.
+#include <sys/prctl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+#include <thread>
+
+#include "peers.h"
+#include "sockets.h"
+
+namespace soak {
+namespace {
+
+constexpr int kConnectMs = 1'000;
+constexpr std::int64_t kPatienceUs = 800'000;  // that a client waits beyond its time
+constexpr std::int64_t kStoppedUs = 3'600'000;
+constexpr int kMostPipelined = 12;
+
+class Client {
+ public:
+  Client(Control& control, const ClientOptions& options, int thread, const Recorder& recorder)
+      : control_(control),
+        recorder_(recorder),
+        fronts_(options.fronts),
+        prefix_((static_cast<std::uint64_t>(options.number) + 1) << 32 | static_cast<std::uint64_t>(thread) << 24),
+        chance_(static_cast<unsigned>(options.seed * 7919 + prefix_ / 4096 + static_cast<std::uint64_t>(thread))) {}
+
+  void run() {
+    while (!control_.stop) {
+      if (socket_ < 0 && !comes()) continue;
+      behave();
+      if (int think = control_.thinkUs; think > 0) usleep(below(static_cast<unsigned>(think)));
+    }
+    if (socket_ >= 0) close(socket_);
+  }
+
+ private:
+  struct Asked {
+    std::uint64_t id = 0;
+    std::int64_t deadline = 0;
+  };
+
+  unsigned below(unsigned n) { return static_cast<unsigned>(chance_() % n); }
+  bool oneIn(int n) { return n > 0 && below(static_cast<unsigned>(n)) == 0; }
+
+  bool comes() {
+    front_ = static_cast<int>(below(static_cast<unsigned>(fronts_)));
+    socket_ = connectTo(frontHost(front_), control_.frontPort[front_], kConnectMs);
+    if (socket_ < 0) {
+      usleep(5'000);
+      return false;
+    }
+    port_ = localPort(socket_);
+    in_.clear(), written_ = 0;
+    return put(startupMessage());
+  }
+  void behave() {
+    if (oneIn(control_.garbageOneIn)) return sayGarbage();
+    if (oneIn(control_.stopsOneIn)) return stopMidway();
+    if (oneIn(control_.restsOneIn)) usleep(below(1'500'000));
+    int statements = oneIn(control_.pipelinesOneIn) ? 2 + static_cast<int>(below(kMostPipelined - 1)) : 1;
+    ask(statements, oneIn(control_.leavesOneIn));
+    if (socket_ >= 0 && oneIn(60)) leave(0, false);
+  }
+
+  bool put(const std::string& bytes) {
+    if (!writeAll(socket_, bytes)) {
+      close(socket_), socket_ = -1;
+      return false;
+    }
+    written_ += static_cast<std::int64_t>(bytes.size());
+    return true;
+  }
+  void leave(std::uint64_t statement, bool resets) {
+    resets ? closeWithReset(socket_) : static_cast<void>(close(socket_));
+    socket_ = -1;
+    recorder_.add({.kind = Kind::clientLeft, .statement = statement, .front = front_, .port = port_});
+  }
+  void sawEnd(std::uint64_t statement) {
+    recorder_.add({.kind = Kind::clientSawEnd, .statement = statement, .front = front_, .port = port_});
+    close(socket_), socket_ = -1;
+  }
+
+  std::string statement(std::uint64_t id, const Workload& w, int deadlineMs) {
+    std::string tail = std::string("/* id=") + std::to_string(id) + ",c=" + w.name +
+                       ",cluster=" + std::to_string(below(2)) + ",d=" + std::to_string(deadlineMs) +
+                       (w.effect == Effect::deduplicated ? ",k=" + std::to_string(id) : "") + " */";
+    if (!w.write) return "SELECT payload FROM entries WHERE ref = '" + std::to_string(id % 997) + "' " + tail;
+    std::string payload = oneIn(20) ? std::string(2 * (1 + below(30'000)), 'a') : std::string("9f");
+    return "INSERT INTO entries (ref, payload) VALUES ('" + std::to_string(id % 997) + "', '\\x" + payload +
+           "') RETURNING payload " + tail;
+  }
+
+  void ask(int count, bool leavesEarly) {
+    std::vector<Asked> asked;
+    std::vector<Event> events;
+    std::string bytes;
+    for (int k = 0; k < count; ++k) {
+      const Workload& w = kWorkloads[below(static_cast<unsigned>(std::size(kWorkloads)))];
+      int deadlineMs = oneIn(25) ? 5 + static_cast<int>(below(60)) : 300 + static_cast<int>(below(1'200));
+      std::uint64_t id = prefix_ + ++counter_;
+      bytes += queryMessage(statement(id, w, deadlineMs));
+      asked.push_back({id, deadlineMs * 1000});
+      events.push_back({.kind = Kind::clientSent, .statement = id, .front = front_, .port = port_,
+                        .code = static_cast<int>(&w - kWorkloads), .value = count,
+                        .offset = written_ + static_cast<std::int64_t>(bytes.size())});
+    }
+    if (!put(bytes)) return;
+    std::int64_t now = monotonicUs();
+    for (std::size_t k = 0; k < events.size(); ++k) {
+      asked[k].deadline += now;
+      events[k].at = now, events[k].deadline = asked[k].deadline;
+      recorder_.add(events[k]);
+    }
+    std::int64_t leavesAt = leavesEarly ? now + below(400'000) : INT64_MAX;
+    await(asked, leavesAt);
+  }
+
+  void await(const std::vector<Asked>& asked, std::int64_t leavesAt) {
+    std::size_t next = 0;
+    int bursts = control_.leaveBurst;
+    std::int64_t last = 0;
+    for (const Asked& a : asked) last = std::max(last, a.deadline);
+    while (next < asked.size()) {
+      std::optional<Message> m = takeMessage(in_);
+      if (m && (m->type == 'D' || m->type == 'E')) answered(asked[next].id, *m), ++next;
+      if (m) continue;
+      std::int64_t now = monotonicUs(), until = std::min({leavesAt, last + kPatienceUs, now + 20'000});
+      if (waitReadable(socket_, until) == Wait::readable) {
+        if (readSome(socket_, in_) <= 0) return sawEnd(asked[next].id);
+        continue;
+      }
+      bool burst = bursts != control_.leaveBurst && oneIn(2);
+      bursts = control_.leaveBurst;
+      if (burst || monotonicUs() >= std::min(leavesAt, last + kPatienceUs)) return leave(asked[next].id, oneIn(3));
+    }
+  }
+  void answered(std::uint64_t id, const Message& m) {
+    Answer code = Answer::served;
+    if (m.type == 'E') {
+      std::string sqlstate = errorCode(m);
+      code = sqlstate == "53300" || sqlstate == "57P03" ? Answer::refused : Answer::failed;
+    }
+    recorder_.add({.kind = Kind::clientAnswered, .statement = id, .front = front_, .port = port_, .code = static_cast<int>(code)});
+  }
+
+  // Sends half of a statement and stays.
+  void stopMidway() {
+    std::string whole = queryMessage(statement(prefix_ + ++counter_, kWorkloads[0], 1'000));
+    if (!put(whole.substr(0, 1 + below(static_cast<unsigned>(whole.size() - 1))))) return;
+    recorder_.add({.kind = Kind::clientStopped, .statement = prefix_ + counter_, .front = front_, .port = port_});
+    std::int64_t until = monotonicUs() + kStoppedUs;
+    while (waitReadable(socket_, until) == Wait::readable)
+      if (readSome(socket_, in_) <= 0) return sawEnd(prefix_ + counter_);
+    leave(prefix_ + counter_, true);
+  }
+  void sayGarbage() {
+    std::string garbage;
+    for (unsigned k = 0, size = 1 + below(4'000); k < size; ++k) garbage.push_back(static_cast<char>(below(256)));
+    if (put(garbage)) close(socket_), socket_ = -1;
+  }
+
+  Control& control_;
+  const Recorder& recorder_;
+  int fronts_, front_ = 0, socket_ = -1, port_ = 0;
+  std::string in_;
+  std::int64_t written_ = 0;
+  std::uint64_t prefix_, counter_ = 0;
+  std::minstd_rand chance_;
+};
+
+}  // namespace
+
+void runClients(Control& control, const ClientOptions& options) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  std::signal(SIGPIPE, SIG_IGN);
+  Recorder recorder(options.events);
+  std::vector<std::thread> threads;
+  for (int k = 0; k < options.threads; ++k)
+    threads.emplace_back([&, k] { Client(control, options, k, recorder).run(); });
+  for (std::thread& t : threads) t.join();
+  _exit(0);
+}
+
+std::string frontHost(int k) { return "127.0.1." + std::to_string(k + 1); }
+
+}  // namespace soak
--- /dev/null
+++ b/tests/soak/fleet.cpp
@@ -0,0 +1,291 @@
+#include "fleet.h"
+
+#include <fcntl.h>
+#include <sys/mman.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <new>
+#include <stdexcept>
+
+#include "sockets.h"
+
+namespace soak {
+namespace {
+
+constexpr std::int64_t kStartUs = 30'000'000;
+constexpr std::int64_t kEndUs = 6'000'000;
+constexpr int kProxies = 2;
+
+constexpr const char* kSettings = R"({"classes":[
+ {"name":"any","repeat":"repeatable","slo":500000,"worth":1,"late_worth":0.2},
+ {"name":"near","repeat":"repeatable","slo":500000,"worth":1,"late_worth":0.2},
+ {"name":"write","repeat":"by_key","key_scope":"cell","repeat_window":1000000,"slo":600000,"worth":4,"late_worth":0.3},
+ {"name":"once","repeat":"once","slo":600000,"worth":4,"late_worth":0.3}],
+ "extra":{"read_level":["eventual","lag_bound","mutate","mutate"],"lag_allowed":[0,1000000,0,0],"origin_time":0,
+  "role_in_list":"static","checks":"none","tokens":"brought"},
+ "failure_domains":["a"],"membership_mode":"automatic","siblings":4,"tick":5000,
+ "limits":{"connect_timeout":250000,"keepalive":15000000,"max_attempts":4,"may_cancel":true,"parallel_tries":true,
+  "probes":true,"retry_after":true,"max_retry_after":2000000},
+ "obligations":{"ask_every":10000000,"cold_from":0.27,"fall_multiple":2.5,"ramp_time":4000000,"tip_after":1000000,
+  "stop_sending_within":250000},
+ "prices":{"probe":0.016},"realms":[]})";
+
+template <class T>
+T* shared(int file) {
+  int flags = file < 0 ? MAP_SHARED | MAP_ANONYMOUS : MAP_SHARED;
+  void* map = mmap(nullptr, sizeof(T), PROT_READ | PROT_WRITE, flags, file, 0);
+  if (map == MAP_FAILED) throw std::runtime_error("no shared memory");
+  return new (map) T{};
+}
+
+}  // namespace
+
+Fleet::Fleet(FleetOptions options)
+    : options_(std::move(options)),
+      control_(shared<Control>(-1)),
+      recorder_(options_.folder + "/controller.events"),
+      fronts_(static_cast<std::size_t>(options_.fronts)) {
+  control_->listVersion = 1;
+  control_->thinkUs = 20'000;
+}
+
+Fleet::~Fleet() {
+  for (const FrontProcess& f : fronts_)
+    if (f.pid > 0) kill(f.pid, SIGKILL), waitpid(f.pid, nullptr, 0);
+  for (pid_t p : clients_) kill(p, SIGKILL), waitpid(p, nullptr, 0);
+  for (pid_t p : peers_) kill(p, SIGKILL), waitpid(p, nullptr, 0);
+  for (auto [store, p] : storePids_) kill(p, SIGKILL), waitpid(p, nullptr, 0);
+  munmap(control_, sizeof(Control));
+}
+
+template <class F>
+pid_t Fleet::forkPeer(F run) {
+  pid_t pid = fork();
+  if (pid < 0) throw std::runtime_error("no process can be had");
+  if (pid == 0) {
+    std::signal(SIGPIPE, SIG_IGN);
+    run();
+    _exit(0);
+  }
+  return pid;
+}
+
+bool Fleet::begin() {
+  int planned = options_.groups * options_.storesPerGroup + options_.spareStores;
+  std::vector<ProxyOptions> proxies(kProxies);
+  std::vector<int> sockets;
+  for (int k = 0; k < planned; ++k) {
+    int port = 0, socket = listenOn("127.0.0.1", port);
+    control_->stores[k].proxyPort = port;
+    control_->stores[k].serviceUs = 2'000;
+    proxies[static_cast<std::size_t>(k % kProxies)].listeners.emplace_back(k, socket);
+    sockets.push_back(socket);
+  }
+  ListOptions list{{}, path("list.events")};
+  for (int front = 0; front < options_.fronts; ++front)
+    for (int which : {0, 1}) {
+      int socket = listenOn("127.0.0.1", frontAt(front).agentPorts[which]);
+      list.agents.push_back({front, which, socket});
+      sockets.push_back(socket);
+    }
+  for (const ProxyOptions& p : proxies) peers_.push_back(forkPeer([&] { runProxy(*control_, p); }));
+  peers_.push_back(forkPeer([&] { runList(*control_, list); }));
+  for (int socket : sockets) close(socket);
+  for (int k = 0; k < options_.groups * options_.storesPerGroup; ++k) {
+    control_->stores[k].group = k % options_.groups;
+    control_->stores[k].primary = k < options_.groups;
+    control_->stores[k].listed = static_cast<int>(ListState::up);
+    control_->storeCount = k + 1;
+    startStore(k, true);
+  }
+  for (int front = 0; front < options_.fronts; ++front) {
+    int port = 0;
+    close(listenOn(frontHost(front), port));
+    control_->frontPort[front] = port;
+    FrontProcess& f = frontAt(front);
+    f.faultsPath = path("front" + std::to_string(front) + ".faults");
+    f.configPath = path("front" + std::to_string(front) + ".json");
+    int file = open(f.faultsPath.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
+    if (file < 0 || ftruncate(file, sizeof(FrontControl)) < 0) throw std::runtime_error("no file for faults");
+    f.faults = shared<FrontControl>(file);
+    close(file);
+    startFront(front);
+  }
+  for (std::int64_t until = monotonicUs() + kStartUs; monotonicUs() < until; usleep(10'000)) {
+    bool all = true;
+    for (int front = 0; front < options_.fronts; ++front) all = all && answers(front);
+    if (!all) continue;
+    for (int k = 0; k < options_.clientProcesses; ++k) {
+      ClientOptions c{k, 4, options_.fronts, options_.seed, path("client" + std::to_string(k) + ".events")};
+      clients_.push_back(forkPeer([&] { runClients(*control_, c); }));
+    }
+    return true;
+  }
+  return false;
+}
+
+bool Fleet::answers(int front) const {
+  int socket = connectTo(frontHost(front), control_->frontPort[front], 200);
+  if (socket < 0) return false;
+  bool good = writeAll(socket, startupMessage() + queryMessage(""));
+  std::string in;
+  for (std::int64_t until = monotonicUs() + 500'000; good && in.find('I') == std::string::npos;)
+    good = waitReadable(socket, until) == Wait::readable && readSome(socket, in) > 0;
+  close(socket);
+  return good;
+}
+
+void Fleet::reap() {
+  int status = 0;
+  for (int k = 0; k < options_.fronts; ++k) {
+    FrontProcess& f = frontAt(k);
+    if (f.pid <= 0 || waitpid(f.pid, &status, WNOHANG) != f.pid) continue;
+    f.pid = -1, f.endedAt = monotonicUs();
+    recorder_.add({.kind = Kind::frontExited, .front = k, .code = status});
+  }
+}
+
+bool Fleet::finish() {
+  control_->stop = true;
+  std::int64_t until = monotonicUs() + kEndUs;
+  while (!clients_.empty() && monotonicUs() < until) {
+    std::erase_if(clients_, [](pid_t p) { return waitpid(p, nullptr, WNOHANG) == p; });
+    reap();
+    usleep(10'000);
+  }
+  for (int k = 0; k < options_.fronts; ++k)
+    if (frontRuns(k)) stopFront(k, false), terminateFront(k);
+  auto anyRuns = [&] {
+    return std::any_of(fronts_.begin(), fronts_.end(), [](const FrontProcess& f) { return f.pid > 0; });
+  };
+  for (until = monotonicUs() + kEndUs; anyRuns() && monotonicUs() < until; usleep(10'000)) reap();
+  for (int k = 0; k < options_.fronts; ++k)
+    if (frontRuns(k)) killFront(k);
+  return clients_.empty();
+}
+
+// ---- stores ----
+
+void Fleet::startStore(int store, bool withOldData) {
+  StoreControl& s = control_->stores[store];
+  if (!withOldData || monotonicUs() > 0) s.frozenAt = 0;
+  StoreOptions o{store, path("store" + std::to_string(store) + ".events")};
+  recorder_.add({.kind = Kind::storeStarted, .store = store, .port = s.proxyPort, .value = withOldData});
+  storePids_[store] = forkPeer([&] { runStore(*control_, o); });
+}
+
+void Fleet::killStore(int store) {
+  auto it = storePids_.find(store);
+  if (it == storePids_.end()) return;
+  recorder_.add({.kind = Kind::storeKilled, .store = store});
+  control_->stores[store].backendPort = 0;
+  kill(it->second, SIGKILL);
+  waitpid(it->second, nullptr, 0);
+  storePids_.erase(it);
+}
+
+void Fleet::changed(int store) {
+  std::int64_t version = control_->listVersion + 1;
+  control_->changedAt[store] = static_cast<int>(version);
+  control_->listVersion = version;
+}
+
+void Fleet::drain(int store) {
+  control_->stores[store].listed = static_cast<int>(ListState::draining);
+  std::int64_t version = control_->listVersion + 1;
+  recorder_.add({.kind = Kind::storeDraining, .store = store, .value = version});
+  changed(store);
+}
+
+void Fleet::makePrimary(int store) {
+  int group = control_->stores[store].group;
+  for (int k = 0; k < control_->storeCount; ++k) {
+    StoreControl& s = control_->stores[k];
+    if (s.group != group || !s.primary || k == store) continue;
+    s.primary = false;
+    recorder_.add({.kind = Kind::storePrimary, .store = k});
+  }
+  control_->stores[store].frozenAt = 0;
+  control_->stores[store].primary = true;
+  recorder_.add({.kind = Kind::storePrimary, .store = store});
+}
+
+int Fleet::nextSpare(int group) {
+  int store = control_->storeCount;
+  if (store >= options_.groups * options_.storesPerGroup + options_.spareStores) return -1;
+  StoreControl& s = control_->stores[store];
+  s.group = group, s.primary = false, s.listed = static_cast<int>(ListState::up), s.startedMs = wallUs() / 1000;
+  control_->storeCount = store + 1;
+  startStore(store, false);
+  changed(store);
+  return store;
+}
+
+// ---- fronts ----
+
+void Fleet::configure(int front) {
+  FrontProcess& f = frontAt(front);
+  std::string text = "{\"name\":\"n" + std::to_string(front) + "\",\"listen\":\"" + frontHost(front) + ":" +
+                     std::to_string(control_->frontPort[front]) + "\",\"discovery\":\"127.0.0.1:" +
+                     std::to_string(f.agentPorts[f.agent]) +
+                     "\",\"seed\":\"" + std::to_string(10'000'000 + options_.seed % 1'000'000) +
+                     "\",\"limits\":{\"sockets\":256,\"memory_mb\":64},\"known\":" + wholeList(*control_) +
+                     ",\"settings\":" + kSettings + "}";
+  std::string aside = f.configPath + ".new";
+  std::ofstream(aside) << text;
+  std::rename(aside.c_str(), f.configPath.c_str());
+}
+
+void Fleet::startFront(int front) {
+  configure(front);
+  FrontProcess& f = frontAt(front);
+  recorder_.add({.kind = Kind::frontStarted, .front = front});
+  f.pid = fork();
+  if (f.pid != 0) return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  int log = open(path("front" + std::to_string(front) + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2(log, 2);
+  setenv("LB_CONFIG", f.configPath.c_str(), 1);
+  setenv("SOAK_FAULTS", f.faultsPath.c_str(), 1);
+  setenv("SOAK_EVENTS", path("front" + std::to_string(front) + ".events").c_str(), 1);
+  setenv("SOAK_FRONT", std::to_string(front).c_str(), 1);
+  setenv("LD_PRELOAD", options_.library.c_str(), 1);
+  // ASan asks to be the first that is loaded; nothing of its own is replaced here.
+  const char* had = std::getenv("ASAN_OPTIONS");
+  setenv("ASAN_OPTIONS", ((had ? std::string(had) + ":" : "") + "verify_asan_link_order=0").c_str(), 1);
+  execl(options_.program.c_str(), options_.program.c_str(), static_cast<char*>(nullptr));
+  _exit(127);
+}
+
+void Fleet::terminateFront(int front) {
+  recorder_.add({.kind = Kind::frontTerminated, .front = front});
+  kill(frontAt(front).pid, SIGTERM);
+}
+
+void Fleet::killFront(int front) {
+  FrontProcess& f = frontAt(front);
+  if (f.pid <= 0) return;
+  recorder_.add({.kind = Kind::frontKilled, .front = front});
+  kill(f.pid, SIGKILL);
+  waitpid(f.pid, nullptr, 0);
+  f.pid = -1, f.endedAt = monotonicUs();
+}
+
+void Fleet::stopFront(int front, bool stopped) {
+  if (frontRuns(front)) kill(frontAt(front).pid, stopped ? SIGSTOP : SIGCONT);
+}
+
+void Fleet::reloadFront(int front, int agent) {
+  FrontProcess& f = frontAt(front);
+  f.agent = agent;
+  configure(front);
+  if (f.pid > 0) kill(f.pid, SIGHUP);
+}
+
+}  // namespace soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,126 @@
+// The soak: some thirty real processes on loopback under troubles drawn from a seed, judged by what they recorded.
+//   soak PROGRAM LIBRARY [--seed N] [--runs N] [--seconds N] [--fronts N] [--keep FOLDER]
+// Each run prints its troubles, its counts and the violations that were found; exit code 1 where there was one. With
+// --keep the folder of a run that found something stays, with the logs of its fronts.
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <string>
+
+#include "fleet.h"
+#include "oracle.h"
+#include "troubles.h"
+
+namespace soak {
+namespace {
+
+constexpr std::size_t kMostTold = 6;  // violations of one rule that are told in full
+
+struct Options {
+  std::string program, library, keep;
+  std::uint64_t seed = 1, runs = 1;
+  int seconds = 8, fronts = 0;
+};
+
+// What the fronts' own checks have counted, from their logs.
+std::size_t countLines(const std::string& folder, const char* event, bool tell) {
+  std::size_t found = 0;
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    if (entry.path().extension() != ".log") continue;
+    std::ifstream log(entry.path());
+    for (std::string line; std::getline(log, line);)
+      if (line.find(event) != std::string::npos && ++found <= kMostTold && tell)
+        std::printf("  %s: %s\n", entry.path().filename().c_str(), line.c_str());
+  }
+  return found;
+}
+
+void tell(const Verdict& verdict) {
+  std::printf("  statements=%zu served=%zu refused=%zu failed=%zu left=%zu resent=%zu excused=%zu attempts=%zu\n",
+              verdict.statements, verdict.served, verdict.refused, verdict.failed, verdict.left, verdict.resent,
+              verdict.excused, verdict.attempts);
+  std::map<std::string, std::size_t> counts;
+  for (const Violation& v : verdict.violations) {
+    if (++counts[v.rule] > kMostTold) continue;
+    std::printf("  VIOLATION %s: %s\n", v.rule.c_str(), v.what.c_str());
+    for (const Event& e : v.about) std::printf("      %s\n", describe(e).c_str());
+  }
+  for (const auto& [rule, count] : counts) std::printf("  violated %s: %zu\n", rule.c_str(), count);
+}
+
+bool runOnce(const Options& o, std::uint64_t seed) {
+  char folder[] = "/tmp/reedchute-soak-XXXXXX";
+  if (!mkdtemp(folder)) return false;
+  std::printf("seed %llu\n", static_cast<unsigned long long>(seed));
+  FleetOptions f{.program = o.program, .library = o.library, .folder = folder, .seed = seed};
+  f.fronts = o.fronts > 0 ? o.fronts : 3 + static_cast<int>(seed % 4);
+  bool good = true, stepped = false;
+  {
+    Fleet fleet(f);
+    if (!fleet.begin()) {
+      std::printf("  the fronts did not start\n");
+      good = false;
+    } else {
+      Troubles troubles(fleet, seed);
+      troubles.run(o.seconds);
+      stepped = troubles.steppedClocks();
+      if (!fleet.finish()) std::printf("  clients did not end\n"), good = false;
+    }
+  }
+  Verdict verdict = judge(readEvents(folder), {.checksStaleness = !stepped});
+  tell(verdict);
+  std::size_t own = countLines(folder, " invariant_violated ", true) + countLines(folder, " answers_missing ", true) +
+                    countLines(folder, " fault ", true);
+  good = good && verdict.violations.empty() && own == 0 && verdict.served > 0;
+  std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), good ? "kept" : "BROKEN");
+  std::fflush(stdout);
+  if (!good && !o.keep.empty()) {
+    std::string kept = o.keep + "/" + std::to_string(seed);
+    std::filesystem::create_directories(o.keep);
+    std::filesystem::remove_all(kept);
+    std::filesystem::copy(folder, kept, std::filesystem::copy_options::recursive);
+  }
+  std::filesystem::remove_all(folder);
+  return good;
+}
+
+bool readOptions(int argc, char** argv, Options& o) {
+  if (argc < 3) return false;
+  o.program = std::filesystem::absolute(argv[1]), o.library = std::filesystem::absolute(argv[2]);
+  for (int k = 3; k + 1 < argc; k += 2) {
+    std::string name = argv[k], value = argv[k + 1];
+    if (name == "--keep") {
+      o.keep = value;
+      continue;
+    }
+    std::uint64_t number = std::strtoull(value.c_str(), nullptr, 10);
+    if (name == "--seed") o.seed = number;
+    else if (name == "--runs") o.runs = number;
+    else if (name == "--seconds") o.seconds = static_cast<int>(number);
+    else if (name == "--fronts") o.fronts = static_cast<int>(std::min<std::uint64_t>(number, kFronts));
+    else return false;
+  }
+  return argc % 2 == 1;
+}
+
+}  // namespace
+}  // namespace soak
+
+int main(int argc, char** argv) {
+  soak::Options options;
+  if (!soak::readOptions(argc, argv, options)) {
+    std::fprintf(stderr, "usage: soak PROGRAM LIBRARY [--seed N] [--runs N] [--seconds N] [--fronts N] [--keep FOLDER]\n");
+    return 2;
+  }
+  std::uint64_t broken = 0;
+  for (std::uint64_t k = 0; k < options.runs; ++k) broken += !soak::runOnce(options, options.seed + k);
+  std::printf("%llu runs, %llu broken\n", static_cast<unsigned long long>(options.runs),
+              static_cast<unsigned long long>(broken));
+  return broken > 0;
+}
--- /dev/null
+++ b/tests/soak/oracle.cpp
@@ -0,0 +1,312 @@
+#include "oracle.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+#include "peers.h"
+
+namespace soak {
+namespace {
+
+constexpr std::int64_t kStillOwedUs = 500'000;   // after its time an answer earns nothing; later it is lost
+constexpr std::int64_t kLeftSlackUs = 100'000;   // an attempt may begin so long after its client has gone
+constexpr std::int64_t kToldSlackUs = 150'000;   // more than is left, that a store may be told
+constexpr std::int64_t kStoppedUs = 3'000'000;   // that a client which stops in the middle is kept waiting
+constexpr std::int64_t kToldAnywayUs = 6'000'000;  // a change of the list counts as told by then
+
+struct Attempt {
+  Event began;
+  bool whole = false;
+  std::optional<Event> reply;  // what its store answered
+};
+
+struct Story {
+  Event sent;
+  std::optional<Event> answered, left, sawEnd;
+  int answers = 0;
+  std::vector<Attempt> attempts;
+  std::vector<Event> runs, all;
+};
+
+struct FrontLife {
+  std::int64_t from = 0, to = INT64_MAX;
+  bool killed = false;
+  std::vector<Event> told;  // lists
+};
+
+class Judge {
+ public:
+  Judge(const std::vector<Event>& events, const OracleOptions& options) : events_(events), options_(options) {}
+
+  Verdict run() {
+    gather();
+    for (auto& [id, story] : stories_) {
+      findEnd(story);
+      if (story.sent.statement == 0) continue;
+      checkAnswer(story);
+      checkAttempts(story);
+      checkRepeats(story);
+      checkReads(story);
+    }
+    checkStopped();
+    checkFronts();
+    return std::move(verdict_);
+  }
+
+ private:
+  void gather() {
+    for (const Event& e : events_) {
+      if (e.statement != 0) stories_[e.statement].all.push_back(e);
+      Story* s = e.statement != 0 ? &stories_[e.statement] : nullptr;
+      switch (e.kind) {
+        case Kind::clientSent:
+          s->sent = e;
+          ++verdict_.statements;
+          break;
+        case Kind::clientAnswered:
+          s->answered = e, ++s->answers;
+          break;
+        case Kind::clientLeft:
+          ends_[{e.front, e.port}].push_back(e);
+          break;
+        case Kind::clientSawEnd:
+          ends_[{e.front, e.port}].push_back(e);
+          break;
+        case Kind::attemptBegan:
+          s->attempts.push_back({e, false, {}});
+          ++verdict_.attempts;
+          break;
+        case Kind::attemptWhole:
+          for (Attempt& a : s->attempts)
+            if (a.began.port == e.port) a.whole = true;
+          break;
+        case Kind::storeRan:
+          s->runs.push_back(e);
+          break;
+        case Kind::storeReplied:
+          noteReply(*s, e);
+          break;
+        case Kind::storeStarted:
+          storePorts_[e.port] = e.store;
+          break;
+        case Kind::storeDraining:
+          drains_[e.store] = e;
+          break;
+        case Kind::storePrimary:
+          primaries_[e.store].push_back(e.at);
+          break;
+        case Kind::frontStarted:
+          lives_[e.front].push_back({e.at, INT64_MAX, false, {}});
+          break;
+        case Kind::frontKilled:
+          lives_[e.front].back().killed = true, lives_[e.front].back().to = e.at;
+          break;
+        case Kind::frontExited:
+          if (lives_[e.front].back().to == INT64_MAX) lives_[e.front].back().to = e.at;
+          break;
+        case Kind::listTold:
+          if (!lives_[e.front].empty()) lives_[e.front].back().told.push_back(e);
+          break;
+        case Kind::frontClosed:
+          closes_[{e.front, e.port}].push_back(e);
+          break;
+        case Kind::frontAccepted:
+          accepts_[{e.front, e.port}].push_back(e);
+          break;
+        default:
+          break;
+      }
+    }
+  }
+  // How its connection ended, where it stood without an answer; behind others it is told of the first of them.
+  void findEnd(Story& s) {
+    const Event& first = s.sent.statement != 0 ? s.sent : s.all.front();
+    auto ends = ends_.find({first.front, first.port});
+    if (ends == ends_.end()) return;
+    auto end = std::find_if(ends->second.begin(), ends->second.end(), [&](const Event& e) { return e.at >= first.at; });
+    if (end == ends->second.end()) return;
+    if (s.answered && s.answered->at <= end->at) return;
+    (end->kind == Kind::clientLeft ? s.left : s.sawEnd) = *end;
+    for (const auto* those : {&closes_, &accepts_})
+      if (auto at = those->find({first.front, first.port}); at != those->end())
+        for (const Event& e : at->second)
+          if (e.at >= first.at - 1'000'000 && e.at <= end->at + 1'000'000) s.all.push_back(e);
+  }
+  void noteReply(Story& s, const Event& reply) {
+    for (Attempt& a : s.attempts) {
+      auto store = storePorts_.find(a.began.port);
+      if (!a.reply && store != storePorts_.end() && store->second == reply.store) {
+        a.reply = reply;
+        return;
+      }
+    }
+  }
+
+  void blame(const char* rule, const std::string& what, const Story& s) { verdict_.violations.push_back({rule, what, s.all}); }
+  static std::string ms(std::int64_t us) { return std::to_string(us / 1000) + " ms"; }
+
+  // Was its front killed while it was owed an answer, or before it came?
+  bool killedMeanwhile(const Event& sent, std::int64_t until) const {
+    auto lives = lives_.find(sent.front);
+    if (lives == lives_.end()) return false;
+    for (const FrontLife& l : lives->second)
+      if (l.killed && l.to >= sent.at - options_.slackUs && l.to <= until) return true;
+    return false;
+  }
+
+  // Rule 1: one final answer in time.
+  void checkAnswer(const Story& s) {
+    if (s.answers > 1) blame("answers", "answered " + std::to_string(s.answers) + " times", s);
+    if (s.answered) {
+      Answer code = static_cast<Answer>(s.answered->code);
+      verdict_.served += code == Answer::served, verdict_.refused += code == Answer::refused;
+      verdict_.failed += code == Answer::failed;
+      std::int64_t late = s.answered->at - s.sent.deadline;
+      if (late > kStillOwedUs + options_.slackUs && s.sent.value == 1) blame("late", "answered " + ms(late) + " after its time", s);
+      checkPromise(s, code);
+      return;
+    }
+    std::int64_t owedUntil = s.sent.deadline + kStillOwedUs;
+    if (s.left && s.left->at < owedUntil) return void(++verdict_.left);
+    if (killedMeanwhile(s.sent, s.sawEnd ? s.sawEnd->at + options_.slackUs : owedUntil)) return void(++verdict_.excused);
+    auto accepted = accepts_.find({s.sent.front, s.sent.port});
+    if (s.sawEnd && accepted != accepts_.end() && !wasRead(s)) return void(++verdict_.resent);
+    if (s.sawEnd && accepted == accepts_.end())
+      blame("lost", "its connection ended without being accepted", s);
+    else if (s.sawEnd)
+      blame("lost", "read, and its connection ended without an answer", s);
+    else if (s.left || s.sent.deadline + kStillOwedUs + options_.slackUs < events_.back().at)
+      blame("lost", "never answered", s);
+  }
+  // Had the front read its last byte by the time it closed the connection?
+  bool wasRead(const Story& s) const {
+    auto closes = closes_.find({s.sent.front, s.sent.port});
+    if (closes == closes_.end()) return true;
+    std::int64_t read = -1;
+    for (const Event& e : closes->second)
+      if (e.at <= s.sawEnd->at + options_.slackUs) read = e.value;
+    return read < 0 || read >= s.sent.offset;
+  }
+  // A refusal promises that nothing has run, where a second effect would matter.
+  void checkPromise(const Story& s, Answer code) {
+    if (code != Answer::refused || kWorkloads[s.sent.code].effect == Effect::repeatable) return;
+    for (const Event& run : s.runs)
+      if (run.at <= s.answered->at) return blame("promise", "refused though it had run", s);
+  }
+
+  // Nothing is sent after the answer or for a client that has gone; what is left is told; no store that drains.
+  void checkAttempts(const Story& s) {
+    for (const Attempt& a : s.attempts) {
+      std::int64_t at = a.began.at;
+      if (s.left && at > s.left->at + kLeftSlackUs) blame("left", "an attempt " + ms(at - s.left->at) + " after its client closed", s);
+      if (s.answered && at > s.answered->at + options_.slackUs)
+        blame("sent", "an attempt " + ms(at - s.answered->at) + " after its answer", s);
+      // A front may be held up between its clock and its write.
+      if (at > s.sent.deadline + kToldSlackUs + options_.slackUs) blame("sent", "an attempt after its time", s);
+      std::int64_t more = a.began.value * 1000 - (s.sent.deadline - at);
+      if (more > kToldSlackUs + options_.slackUs) blame("told", "a store was told " + ms(more) + " more than was left", s);
+      checkDrain(s, a);
+    }
+  }
+  void checkDrain(const Story& s, const Attempt& a) {
+    auto store = storePorts_.find(a.began.port);
+    if (store == storePorts_.end()) return;
+    auto drain = drains_.find(store->second);
+    if (drain == drains_.end()) return;
+    std::int64_t told = toldAt(a.began.front, a.began.at, drain->second);
+    if (a.began.at - options_.drainGraceUs - options_.slackUs > told)
+      blame("drain", "an attempt " + ms(a.began.at - told) + " after its store's drain was told", s);
+  }
+  std::int64_t toldAt(int front, std::int64_t at, const Event& drain) const {
+    auto lives = lives_.find(front);
+    if (lives == lives_.end()) return INT64_MAX;
+    std::int64_t told = INT64_MAX;
+    for (const FrontLife& l : lives->second) {
+      if (l.from > at || at > l.to + options_.slackUs) continue;
+      for (const Event& e : l.told)
+        if (e.value >= drain.value) told = std::min(told, e.at);
+    }
+    return told;
+  }
+
+  // Rule 2: no effect twice.
+  void checkRepeats(const Story& s) {
+    Effect effect = kWorkloads[s.sent.code].effect;
+    if (effect == Effect::repeatable) return;
+    if (effect == Effect::once && s.runs.size() > 1) blame("duplicate", "ran " + std::to_string(s.runs.size()) + " times", s);
+    for (std::size_t k = 1; k < s.attempts.size(); ++k)
+      for (std::size_t before = 0; before < k; ++before) {
+        const Attempt& earlier = s.attempts[before];
+        if (!mayHaveRun(earlier)) continue;
+        std::int64_t gap = s.attempts[k].began.at - earlier.began.at;
+        if (effect == Effect::once)
+          blame("duplicate", "sent again though it may have run", s);
+        else if (gap > kRepeatWindowUs + options_.slackUs)
+          blame("window", "sent again " + ms(gap) + " after it may have run", s);
+      }
+  }
+  // As the front can know it.
+  static bool mayHaveRun(const Attempt& a) {
+    if (!a.whole) return false;
+    if (!a.reply) return true;
+    Answer code = static_cast<Answer>(a.reply->code);
+    return code != Answer::miss && code != Answer::refused;
+  }
+
+  // Rule 5: no stale read.
+  void checkReads(const Story& s) {
+    std::int64_t bound = kWorkloads[s.sent.code].boundUs;
+    if (bound == 0 || !options_.checksStaleness) return;
+    for (const Event& e : s.all) {
+      if (e.kind != Kind::storeReceived || e.value <= bound + 2 * options_.slackUs) continue;
+      // One that was primary is excused until an answer has told that it is none.
+      auto was = primaries_.find(e.store);
+      if (was != primaries_.end()) continue;
+      blame("stale", "read from data " + ms(e.value) + " old, at most " + ms(bound), s);
+    }
+  }
+
+  void checkStopped() {
+    for (auto& [id, story] : stories_) {
+      auto stopped = std::find_if(story.all.begin(), story.all.end(), [](const Event& e) { return e.kind == Kind::clientStopped; });
+      if (stopped == story.all.end()) continue;
+      bool ended = story.sawEnd && story.sawEnd->at <= stopped->at + kStoppedUs + options_.slackUs;
+      if (!ended && story.left && !killedMeanwhile(*stopped, stopped->at + kStoppedUs))
+        blame("stopped", "a client that stopped in the middle of a message was kept waiting", story);
+    }
+  }
+  void checkFronts() {
+    std::map<int, bool> ending;
+    for (const Event& e : events_) {
+      if (e.kind == Kind::frontStarted) ending[e.front] = false;
+      if (e.kind == Kind::frontTerminated) ending[e.front] = true;
+      if (e.kind == Kind::frontKilled && ending[e.front])
+        verdict_.violations.push_back({"exit", "a front did not end by itself after SIGTERM", {e}});
+      if (e.kind == Kind::frontExited && (e.code != 0 || !ending[e.front]) && !killedAt(e))
+        verdict_.violations.push_back({"crash", "a front ended with status " + std::to_string(e.code), {e}});
+    }
+  }
+  bool killedAt(const Event& exited) const {
+    for (const FrontLife& l : lives_.at(exited.front))
+      if (l.killed && l.to <= exited.at && exited.at - l.to < 2'000'000) return true;
+    return false;
+  }
+
+  const std::vector<Event>& events_;
+  OracleOptions options_;
+  Verdict verdict_;
+  std::map<std::uint64_t, Story> stories_;
+  std::map<std::pair<int, int>, std::vector<Event>> closes_;
+  std::map<std::pair<int, int>, std::vector<Event>> accepts_, ends_;
+  std::map<int, int> storePorts_;
+  std::map<int, Event> drains_;
+  std::map<int, std::vector<std::int64_t>> primaries_;
+  std::map<int, std::vector<FrontLife>> lives_;
+};
+
+}  // namespace
+
+Verdict judge(const std::vector<Event>& events, const OracleOptions& options) { return Judge(events, options).run(); }
+
+}  // namespace soak
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -21,6 +21,8 @@
 }
 
 // What a test program can run, by the name that it is called with.
+inline const char* yes(bool so) { return so ? "yes" : "no"; }
+
 struct Case {
   const char* name;
   void (*run)();
