Signals, the start and a new configuration outlast calls that fail for a moment

Cause: read() of the signal descriptor interrupted (EINTR) ended the loop until the next edge, so SIGTERM or SIGHUP was lost and the front never ended; a signalfd, listening socket, address or configuration that could not be had at the first try ended the start, or left the front deaf to signals; a configuration half written as SIGHUP came was never read.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -4,8 +4,10 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
+#include "front/startup.h"
 #include "guard/violations.h"
 #include "log/log.h"
 
@@ -40,6 +42,9 @@
 constexpr double kFirstList = 2;   // connect time-outs that clients are kept waiting for the first list
 constexpr double kRemembered = 2;  // keepalives that a store which is gone is remembered for
 constexpr Span kTallyEvery{5'000'000};
+// A configuration that can't be read is tried again for so long after its signal, first after so many ticks.
+constexpr Span kReloadTried{10'000'000};
+constexpr double kReloadFirst = 4;
 
 peers::Stores::Limits storeLimits(const Given& g) {
   return {g.terms.connectTimeout, g.keepalive, (g.sockets - kReserve) / kStorePart, g.memory / kRowPart,
@@ -104,6 +109,7 @@
 
 Front::Front(Given given)
     : given_(counted(std::move(given))),
+      reloads_(scheduler_),
       rules_(given_.terms, scheduler_.now()),
       relay_(groups_),
       book_(scheduler_, rules_, relay_, given_.terms),
@@ -153,7 +159,13 @@
   sigset_t signals = taken();
   enter(Phase::starting);
   tellList(given_.known, false);
-  scheduler_.spawn(watchSignals(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC)));
+  int signalDescriptor = retryAtStart([&] {
+    int fd = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+    if (fd < 0) sched::throwErrno("signals can't be read");
+    return fd;
+  });
+  scheduler_.spawn(watchSignals(signalDescriptor));
+  scheduler_.spawn(watchReloads());
   scheduler_.spawn(route_.alarm());
   scheduler_.spawn(list_.run());
   scheduler_.spawn(leave());
@@ -161,7 +173,7 @@
   scheduler_.spawn(sweep());
   scheduler_.spawn(watchLedger());
   for (std::size_t k = 0; k < clients_.size(); ++k) {
-    int port = clients_[k]->listen(protocols_[k]->listen());
+    int port = retryAtStart([&] { return clients_[k]->listen(protocols_[k]->listen()); });
     protocols_[k]->listening(port);
     if (k == 0)
       log::line("listening", "port=%d", port);
@@ -190,31 +202,49 @@
   sched::Descriptor signals(scheduler_, fd);
   for (;;) {
     signalfd_siginfo info;
-    while (read(signals.fd(), &info, sizeof info) == sizeof info) {
+    ssize_t got = read(signals.fd(), &info, sizeof info);
+    if (got == sizeof info) {
       log::line("signal", "number=%u", info.ssi_signo);
-      if (info.ssi_signo == SIGHUP)
-        reload();
-      else
-        told_.set();
+      (info.ssi_signo == SIGHUP ? reloads_ : told_).set();
+    } else if (got < 0 && errno == EINTR) {
+      // Danger: no edge comes for a signal that stands there already.
+      continue;
+    } else {
+      co_await signals.in.wait();
+    }
+  }
+}
+
+// Danger: the file may be half written as the signal comes, or a descriptor for it may be missing at this moment; no
+// other signal would tell when it can be read.
+sched::Task<> Front::watchReloads() {
+  for (;;) {
+    co_await reloads_.wait();
+    sched::Backoff backoff(given_.terms.tick * kReloadFirst, given_.terms.connectTimeout);
+    TimePoint until = scheduler_.now() + kReloadTried;
+    while (!reload() && scheduler_.now() < until) {
+      TimePoint next = scheduler_.now() + backoff.after(scheduler_.now());
+      bool signalled = co_await reloads_.wait(next);
+      if (signalled) until = scheduler_.now() + kReloadTried, backoff.succeeded();
     }
-    co_await signals.in.wait();
   }
 }
 
-// Danger: the file may be missing, half written or senseless; then all stays as it is.
-void Front::reload() {
+// Danger: the file may be missing, half written or senseless; then all stays as it is. False where it can't be read.
+bool Front::reload() {
   Given next;
   try {
     next = readGiven(given_.path.c_str());
   } catch (const std::exception& e) {
     log::line("reload_bad", "what=\"%s\"", e.what());
-    return;
+    return false;
   }
   for (const char* field : changedForRestart(given_, next)) log::line("reload_ignored", "field=%s", field);
   log::line("reload", "discovery=%s", next.discoveryHost.c_str());
   given_.discovery = next.discovery;
   given_.discoveryHost = next.discoveryHost;
   list_.moveTo(next.discovery, next.discoveryHost);
+  return true;
 }
 
 sched::Task<> Front::leave() {
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -57,7 +57,8 @@
   TimePoint startOf(int store, WallTime told);
   sched::Task<> watchSignals(int fd);
   sched::Task<> open();
-  void reload();
+  sched::Task<> watchReloads();
+  bool reload();
   sched::Task<> leave();
   sched::Task<> tally();
   void tellTally();
@@ -78,6 +79,7 @@
   };
   std::map<int, Start> starts_;  // by store: as it was told first, and what it was taken for
   Index<std::int64_t> groups_;
+  sched::Event reloads_;  // a signal to read the configuration has come
   Rules rules_;
   std::unique_ptr<ledger::Feed> ledger_;
   stages::Relay relay_;
--- a/src/front/given.cpp
+++ b/src/front/given.cpp
@@ -3,12 +3,15 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
+#include <system_error>
 
 #include "base/number.h"
 #include "doors/cql/settings.h"
+#include "front/startup.h"
 #include "hcl/settings.h"
 #include "ledger/settings.h"
 
@@ -34,6 +37,8 @@
 Given readGiven(const char* path) {
   if (!path || !*path) throw Malformed("LB_CONFIG names no file");
   std::ifstream file(path, std::ios::binary);
+  if (!file && passes(std::error_code(errno, std::generic_category())))
+    throw std::system_error(errno, std::generic_category(), std::string("the configuration can't be opened: ") + path);
   if (!file) throw Malformed(std::string("the configuration can't be opened: ") + path);
   Given g = givenFrom({std::istreambuf_iterator<char>(file), {}});
   g.path = path;
--- a/src/front/given.h
+++ b/src/front/given.h
@@ -33,7 +33,8 @@
   std::optional<ledger::FeedGiven> ledger;
 };
 
-// Reads the file at `path`; throws Malformed with one plain line where it is missing or makes no sense.
+// Reads the file at `path`; throws Malformed with one plain line where it is missing or makes no sense, and
+// std::system_error where it can't be read at this moment.
 Given readGiven(const char* path);
 Given givenFrom(const std::string& text);
 
--- a/src/front/main.cpp
+++ b/src/front/main.cpp
@@ -6,6 +6,7 @@
 #include <exception>
 
 #include "front/front.h"
+#include "front/startup.h"
 #include "log/log.h"
 
 int main(int argc, char** argv) {
@@ -17,7 +18,8 @@
   reedchute::front::Front::holdSignals();
   reedchute::log::neverBlock();
   try {
-    reedchute::front::Given given = reedchute::front::readGiven(std::getenv("LB_CONFIG"));
+    reedchute::front::Given given =
+        reedchute::front::retryAtStart([] { return reedchute::front::readGiven(std::getenv("LB_CONFIG")); });
     if (!settings.empty()) reedchute::front::addSettings(given, settings);
     reedchute::front::Front front(std::move(given));
     front.run();
