--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -154,6 +154,12 @@
   for (sched::Socket* c : stores_[static_cast<std::size_t>(number)]->idle) c->write(last), c->close();
 }
 
+void Toy::closeBusy(int number) {
+  Store& s = *stores_[static_cast<std::size_t>(number)];
+  for (sched::Socket* c : s.connections)
+    if (std::find(s.idle.begin(), s.idle.end(), c) == s.idle.end()) c->close();
+}
+
 // ---- stores ----
 
 sched::Task<> Toy::accept(sched::Descriptor& listener, Server server) {
--- a/example/toy.h
+++ b/example/toy.h
@@ -44,6 +44,8 @@
   void revive(int store);
   // Closes idle connections to a store, with some last bytes.
   void closeIdle(int store, std::string_view last = {});
+  // Closes the connections on which a statement is out at a store.
+  void closeBusy(int store);
   // While held, a store accepts connections but does not greet them.
   void hold(int store, bool held);
   bool holdsBack(int store) const { return stores_[static_cast<std::size_t>(store)]->holdsBack; }  // a greeting
--- a/tests/carrier.cpp
+++ b/tests/carrier.cpp
@@ -257,7 +257,44 @@
   std::printf("its store has all of it: %s\n", in.size() >= p.query.text.size() ? "yes" : "no");
 }
 
+// What a store is told of its client's time holds for the last byte too: written a while later, it would be untrue.
+void toldLate() {
+  Pair p;
+  p.comes("orders");
+  p.peer->write(pg::greeting());
+  p.comes("SELECT 1");
+  p.peer->write(row() + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready());
+  p.ends();
+  p.done = false;
+  p.query.text += std::string(24 << 20, ' ');
+  p.give();
+  std::printf("its store reads nothing for 0.4 s: ");
+  for (TimePoint until = p.s.now() + ms(400); p.s.now() < until;) p.pass();
+  std::string in;
+  while (!p.done || p.peer->read(in, 128 << 20) == Socket::Got::some) p.peer->read(in, 128 << 20), p.pass();
+  std::printf("its store has all of it: %s\n", in.size() >= p.query.text.size() ? "yes" : "no");
+}
+
+// A store that closes each connection as soon as it is up is not dialled for as long as the client waits.
+void closesAtOnce() {
+  Pair p;
+  p.peer->write(pg::greeting());
+  p.peer->close();
+  int times = 1;
+  for (TimePoint until = p.s.now() + ms(3000); !p.done && p.s.now() < until; p.pass()) {
+    sched::Accepted one = sched::acceptOn(p.listener.fd());
+    if (one.status != sched::AcceptStatus::accepted) continue;
+    Socket next(p.s, one.fd);
+    next.write(pg::greeting());
+    ++times;
+  }
+  std::printf("a store that greets and closes: dialled at most four times %s, given up %s\n", times <= 4 ? "yes" : "no",
+              p.done ? "yes" : "no");
+}
+
 const Case kCases[] = {{"cancelCrosses", cancelCrosses},
+                       {"toldLate", toldLate},
+                       {"closesAtOnce", closesAtOnce},
                        {"endsUnseen", endsUnseen}, {"heldUp", heldUp},
                        {"endlessFrames", endlessFrames},
                        {"storeFaults", storeFaults}};
--- /dev/null
+++ b/tests/crossings.cpp
@@ -0,0 +1,237 @@
+// Two or three rare events at once, in the order that hurts, on real connections: found by going through the rules path
+// by path (docs/incidents). The front is stopped, by the test or by itself before one of its system calls
+// (tests/soak/faulty_machine.cpp); what is to cross is sent; it goes on.
+#include <cerrno>
+#include <csignal>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "faulty.h"
+#include "pg_client.h"
+
+using namespace reedchute;
+using soak::Call;
+using test::Case;
+using test::Client;
+using test::comes;
+using test::Drive;
+using test::FaultyMachine;
+using test::Seen;
+using test::seen;
+using test::yes;
+
+namespace {
+
+// Leaves a connection that rests at each store.
+void usesAll(Client& c) {
+  std::string many;
+  for (int k = 0; k < 8; ++k) many += pg::query(Client::read("slow100"));
+  c.send(many);
+  c.get(8);
+}
+
+// Clients that ask again in the moment in which they are answered, as the front is told to end.
+void termBusy() {
+  FaultyMachine machine;
+  Drive d(2);
+  struct Busy {
+    std::unique_ptr<Client> client;
+    bool waits = false, over = false;
+  };
+  std::vector<Busy> all(24);
+  for (Busy& b : all) b.client = std::make_unique<Client>(d);
+  int asked = 0, answered = 0, lost = 0;
+  auto turn = [&](Busy& b) {
+    if (b.over) return;
+    Client& c = *b.client;
+    bool ended = c.socket->read(c.in, 1 << 20) == sched::Socket::Got::ended;
+    std::string words = test::inWords(c.in);
+    bool last = words.find("FATAL") != std::string::npos;
+    if (last || words.find("ready") != std::string::npos) answered += b.waits, b.waits = false;
+    b.over = last;
+    if (ended) lost += b.waits, b.over = true;
+    if (b.over || b.waits) return;
+    c.send(pg::query(Client::read("a")));
+    ++asked, b.waits = true;
+  };
+  TimePoint told = d.s.now() + test::ms(200);
+  bool signalled = false;
+  d.until("all have ended", [&] {
+    bool over = true;
+    for (Busy& b : all) turn(b), over = over && b.over;
+    if (!signalled && d.s.now() >= told) d.signal(SIGTERM), signalled = true;
+    return over;
+  });
+  std::printf("24 clients that ask again at once: over a hundred asked %s, unanswered %d, without an answer at the end %d\n",
+              yes(asked > 100), asked - answered - lost, lost);
+  std::printf("read after the end of a connection: %ld bytes\n", machine.readAndDropped());
+  d.exits();
+}
+
+// A request crosses the end of a connection that rests: it is not read, so that its client asks it elsewhere.
+void termRests() {
+  FaultyMachine machine;
+  Drive d(1);
+  Client rests(d);
+  rests.ask(Client::read("a"));
+  d.signal(SIGTERM);
+  std::printf("one that rests: %s\n", rests.get().c_str());
+  rests.send(pg::query(Client::read("b")));
+  d.exits();
+  std::printf("what it asked as it was ended: %ld bytes of it read\n", machine.readAndDropped());
+}
+
+// The connection that a statement waits for comes up, then its client leaves; the front sees both together, later than
+// an attempt may begin for it.
+void leavesAsItComesUp() {
+  Drive d(1);
+  Client c(d), leaves(d);
+  c.ask(Client::read("a"));
+  d.holdBack(0);
+  Seen its(d, "b");
+  leaves.send(pg::query(Client::read("b")));
+  d.until("the connection is dialled", [&] { return d.toy.holdsBack(0); });
+  d.stop();
+  d.toy.hold(0, false);
+  comes(d, [&] { return d.faced(d.toy.port(0)).unread > 0; });
+  leaves.socket->close();
+  comes(d, [&] { return d.faced(d.port, true).ended > 0; });
+  d.pass(130);
+  d.goOn();
+  c.ask(Client::read("c"));
+  std::printf("gone as its connection came up: %d sent of it\n", its.times);
+}
+
+// The front is held up in the middle of a round: it has begun to read that an attempt broke, and its client leaves
+// before the next one is written.
+void leavesInRound() {
+  FaultyMachine machine;
+  Drive d(2);
+  Client c(d), leaves(d);
+  usesAll(c);
+  int at = -1;
+  Seen its(d, "silent-ok");
+  d.toy.seen = [&, before = d.toy.seen](int store, const std::string& text) {
+    before(store, text);
+    if (text.find("'silent-ok'") != std::string::npos && at < 0) at = store;
+  };
+  leaves.send(pg::query(Client::read("silent-ok")));
+  d.until("it is out", [&] { return at >= 0; });
+  d.pass(20);
+  machine.stopsAt(Call::receive);
+  d.toy.closeBusy(at);
+  d.until("the front stands in its read", [&] { return d.stands(); });
+  leaves.socket->close();
+  comes(d, [&] { return d.faced(d.port, true).ended > 0; });
+  d.pass(130);
+  d.goOn();
+  c.ask(Client::read("c"));
+  std::printf("gone while the front was held up in a round: %d sent of it after that\n", its.times - 1);
+}
+
+// A client's end stands behind more events than one wait brings.
+void leavesBehindMany() {
+  Drive d(2, 1024, "automatic", "", false, 128);
+  std::vector<std::unique_ptr<Client>> many;
+  for (int k = 0; k < 320; ++k) many.push_back(std::make_unique<Client>(d));
+  Client c(d), leaves(d);
+  usesAll(c);
+  int at = -1;
+  Seen its(d, "silent-ok");
+  d.toy.seen = [&, before = d.toy.seen](int store, const std::string& text) {
+    before(store, text);
+    if (text.find("'silent-ok'") != std::string::npos && at < 0) at = store;
+  };
+  leaves.send(pg::query(Client::read("silent-ok")));
+  d.until("it is out", [&] { return at >= 0; });
+  d.stop();
+  d.toy.closeBusy(at);
+  comes(d, [&] { return d.faced(d.toy.port(at)).ended > 0; });
+  for (auto& one : many) one->send("Q");
+  comes(d, [&] { return d.faced(d.port, true).unread >= 320; });
+  leaves.socket->close();
+  comes(d, [&] { return d.faced(d.port, true).ended > 0; });
+  d.pass(130);
+  d.goOn();
+  c.ask(Client::read("c"));
+  std::printf("gone behind 320 other events: %d sent of it after that\n", its.times - 1);
+}
+
+// Somebody needs a place, and all who could make room have just asked.
+void roomOfNone() {
+  Drive d(1, 64);
+  std::vector<std::unique_ptr<Client>> all;
+  for (int k = 0; k < 27; ++k) all.push_back(std::make_unique<Client>(d));
+  d.pass(100);  // all have been silent for long enough
+  d.stop();
+  Client last(d, false);
+  last.send(pg::startup("web", "orders") + pg::query(Client::read("b")));
+  for (auto& c : all) c->send(pg::query(Client::read("a")));
+  comes(d, [&] { return d.faced(d.port, true).unread >= 27; });
+  d.goOn();
+  int answered = 0;
+  for (auto& c : all) answered += c->get().find("ready") != std::string::npos;
+  std::printf("of 27 that asked as one more came: %d answered\n", answered);
+  std::string got = last.get(2);
+  std::printf("that one: %s\n", got.find("53300") != std::string::npos || got.find("row") != std::string::npos ? "one answer" : got.c_str());
+}
+
+// Several clients wait in the kernel while nobody can be accepted: the time of each runs from when it asked.
+void waitsToBeAccepted() {
+  FaultyMachine machine;
+  Drive d(1);
+  machine.failsOften(Call::accept, ENFILE, 1024);
+  int before = d.sent;
+  std::vector<std::unique_ptr<Client>> all;
+  for (int k = 0; k < 4; ++k) {
+    all.push_back(std::make_unique<Client>(d, false));
+    all.back()->send(pg::startup("web", "orders") + pg::query(Client::write("a", 400, "once")));
+  }
+  d.pass(700);
+  machine.failsOften(Call::accept, ENFILE, 0);
+  int refused = 0;
+  for (auto& c : all) refused += c->get(2).find("ERROR 53300") != std::string::npos;
+  std::printf("four that waited longer than they would: %d refused, %d sent\n", refused, d.sent - before);
+}
+
+// SIGTERM is seen late, as the front was held up: what comes later than 0.7 s after it may find no answer before SIGKILL.
+void termSeenLate() {
+  Drive d(1);
+  Client c(d);
+  int before = d.sent;
+  c.send(pg::query(Client::read("slow1500", 5000)));
+  seen(d, before);
+  d.stop();
+  d.signal(SIGTERM);
+  TimePoint at = d.s.now();
+  d.pass(140);
+  d.goOn();
+  d.until("it is told", [&] { return d.logged("phase=leaving"); });
+  d.until("it is late", [&] { return d.s.now() >= at + test::ms(720); });
+  c.send(pg::query(Client::read("b")));
+  std::string got = c.get(2);
+  std::printf("asked 0.72 s after SIGTERM: %s\n", got.find("value of b") == std::string::npos ? "refused" : "taken");
+  c.socket->close();
+  d.exits();
+}
+
+const Case kCases[] = {{"termBusy", termBusy},
+                       {"termRests", termRests},
+                       {"leavesAsItComesUp", leavesAsItComesUp},
+                       {"leavesInRound", leavesInRound},
+                       {"leavesBehindMany", leavesBehindMany},
+                       {"roomOfNone", roomOfNone},
+                       {"waitsToBeAccepted", waitsToBeAccepted},
+                       {"termSeenLate", termSeenLate}};
+
+}  // namespace
+
+// crossings PROGRAM LIBRARY CASE
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  if (argc > 2) test::program = argv[1], test::faultLibrary = argv[2];
+  return test::runCase(kCases, argc - 2, argv + 2);
+}
--- a/tests/drive.h
+++ b/tests/drive.h
@@ -156,23 +156,25 @@
     for (TimePoint end = s.now() + Span{ms * 1000}; s.now() < end;) s.pass(s.now() + Span{2000}, [] {});
   }
   void signal(int number) { kill(child_, number); }
+  // Does the front stand still?
+  bool stands() const {
+    std::ifstream stat("/proc/" + std::to_string(child_) + "/stat");
+    std::string line;
+    std::getline(stat, line);
+    std::size_t name = line.rfind(") ");
+    return name != std::string::npos && line[name + 2] == 'T';
+  }
   // The front stands still in its wait for events, and what is sent to it meanwhile waits for it all together. In the
   // middle of a round it would take up some of that before it has seen the rest.
   void stop() {
     std::string of = "/proc/" + std::to_string(child_);
     for (bool waits = false; !waits;) {
       signal(SIGSTOP);
-      bool stands = until("the front stands still", [&] {
-        std::ifstream stat(of + "/stat");
-        std::string line;
-        std::getline(stat, line);
-        std::size_t name = line.rfind(") ");
-        return name != std::string::npos && line[name + 2] == 'T';
-      });
+      bool still = until("the front stands still", [&] { return stands(); });
       std::ifstream call(of + "/syscall");
       long number = -1;
       call >> number;
-      waits = !stands || !call || number == SYS_epoll_pwait2 || number == SYS_epoll_pwait || number == SYS_epoll_wait;
+      waits = !still || !call || number == SYS_epoll_pwait2 || number == SYS_epoll_pwait || number == SYS_epoll_wait;
       if (!waits) goOn(), pass(1);
     }
   }
--- a/tests/faulty.h
+++ b/tests/faulty.h
@@ -49,6 +49,8 @@
     soak::CallFaults& f = control_->of(call);
     f.error = error, f.failed = 0, f.rate = rate;
   }
+  // The process stops itself before its next call of this kind.
+  void stopsAt(soak::Call call) { control_->of(call).stops = 1; }
   int failed(soak::Call call) const { return control_->of(call).failed; }
   // Bytes of clients that the front has read after it had shut their connections.
   long readAndDropped() const { return static_cast<long>(control_->readAndDropped); }
--- a/tests/pg_client.h
+++ b/tests/pg_client.h
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <cstdio>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -110,4 +111,30 @@
   static inline int ids = 0;
 };
 
+// Waits until what was sent to the front stands there for it to see. The kernel's table may leave out a line
+// while others come and go: what is not there has to be so three times in a row.
+inline void comes(Drive& d, const std::function<bool()>& so) {
+  int times = 0;
+  d.until("it has come", [&] { return (times = so() ? times + 1 : 0) == 3; });
+}
+
+// Waits until a statement has been seen by a store.
+inline void seen(Drive& d, int before) {
+  d.until("a store sees it", [&] { return d.sent > before; });
+}
+
+// How often stores see statements with this key, from now on.
+class Seen {
+ public:
+  Seen(
+      Drive& d, std::string key, std::function<void()> then = [] {}) {
+    d.toy.seen = [this, &d, before = d.toy.seen, key = "'" + key + "'", then](int store,
+                                                                              const std::string& text) {
+      before(store, text);
+      if (text.find(key) != std::string::npos) ++times, then();
+    };
+  }
+  int times = 0;
+};
+
 }  // namespace reedchute::test
--- a/tests/races.cpp
+++ b/tests/races.cpp
@@ -13,25 +13,16 @@
 using namespace reedchute;
 using test::Case;
 using test::Client;
+using test::comes;
 using test::Drive;
+using test::Seen;
+using test::seen;
 using test::yes;
 using test::edits;
 using test::ms;
 
 namespace {
 
-// Waits until what was sent to the front stands there for it to see. The kernel's table may leave out a line
-// while others come and go: what is not there has to be so three times in a row.
-void comes(Drive& d, const std::function<bool()>& so) {
-  int times = 0;
-  d.until("it has come", [&] { return (times = so() ? times + 1 : 0) == 3; });
-}
-
-// Waits until a statement has been seen by a store.
-void seen(Drive& d, int before) {
-  d.until("a store sees it", [&] { return d.sent > before; });
-}
-
 // A front whose client has had an answer.
 struct Served : Drive {
   explicit Served(int stores) : Drive(stores), c(*this) { c.ask(Client::read("a")); }
@@ -48,20 +39,6 @@
   comes(d, [&] { return d.faced(d.listPort()).unread > 0; });
 }
 
-// How often stores see statements with this key, from now on.
-class Seen {
- public:
-  Seen(
-      Drive& d, std::string key, std::function<void()> then = [] {}) {
-    d.toy.seen = [this, &d, before = d.toy.seen, key = "'" + key + "'", then](int store,
-                                                                              const std::string& text) {
-      before(store, text);
-      if (text.find(key) != std::string::npos) ++times, then();
-    };
-  }
-  int times = 0;
-};
-
 // A request and its client's going come together: it has gone before the front read what it asked.
 void goesAtOnce() {
   for (bool resets : {false, true}) {
--- a/tests/soak/faulty_machine.cpp
+++ b/tests/soak/faulty_machine.cpp
@@ -66,6 +66,7 @@
   bool strikes(soak::Call call, int& error) {
     if (!faults) return false;
     soak::CallFaults& f = faults->of(call);
+    if (f.stops.load(std::memory_order_relaxed) > 0) --f.stops, raise(SIGSTOP);
     int left = f.next.load(std::memory_order_relaxed), rate = f.rate.load(std::memory_order_relaxed);
     bool fails = left > 0 || (rate > 0 && draw() % kOf < static_cast<unsigned>(rate));
     if (!fails) return false;
