--- a/src/doors/pg/carrier.cpp
+++ b/src/doors/pg/carrier.cpp
@@ -192,11 +192,13 @@
 sched::Task<bool> Connection::perform(std::optional<std::string_view> rest) {
   Job& j = *job;
   bool written = rest && rest->empty();
+  if (written) j.wholeAt = j.leftAt;
   if (rest && !written) {
     writing = true;
     // Danger: a read whose last byte leaves too late is a stale one, a write's too late for its window a second effect.
     TimePoint wholeBy = std::min(std::min(j.until, j.sendBy), j.leftAt + kLongestWrite);
     written = co_await sched::writeAll(socket, *rest, wholeBy);
+    if (written) j.wholeAt = scheduler().instant();
     writing = false;
   }
   if (!written) {
@@ -206,7 +208,6 @@
     j.ending = j.cancelled || late ? Ending::moot : Ending::connectFailed;
     co_return false;
   }
-  j.wholeAt = scheduler().instant();
   // Danger: from here on the store may have run it, whatever becomes of the connection.
   int rows = 0;
   bool described = false, complete = false, failed = false;
--- a/tests/faults.cpp
+++ b/tests/faults.cpp
@@ -144,6 +144,20 @@
   }
 }
 
+// A signal comes while the libraries are being loaded.
+void startSignalled() {
+  for (int number : {SIGHUP, SIGTERM}) {
+    FaultyMachine machine;
+    setenv("SOAK_SIGNAL", std::to_string(number).c_str(), 1);
+    Drive d(1);
+    unsetenv("SOAK_SIGNAL");
+    Client c(d, false);
+    c.send(pg::startup("web", "orders") + pg::query(Client::read("a")));
+    std::printf("signal %d as it begins: %s\n", number, c.get(2).c_str());
+    c.socket->close();
+  }
+}
+
 // A configuration that can't be read as the signal comes is read a moment later.
 void reloadLacks() {
   FaultyMachine machine;
@@ -173,6 +187,7 @@
                        {"connectInterrupted", connectInterrupted},
                        {"signalsInterrupted", signalsInterrupted},
                        {"startLacks", startLacks},
+                       {"startSignalled", startSignalled},
                        {"reloadLacks", reloadLacks}};
 
 }  // namespace
--- a/tests/soak/faulty_machine.cpp
+++ b/tests/soak/faulty_machine.cpp
@@ -1,6 +1,6 @@
 // Loaded into the fronts of the soak: system calls fail now and then as Linux documents, the wall clock is shifted, and
 // what the front does on its connections is recorded at the call itself. SOAK_FAULTS names the file of its FrontControl,
-// SOAK_EVENTS the file of its events, SOAK_FRONT its number. SOAK_STORE_PORTS: the lowest and highest port of proxies.
+// SOAK_EVENTS the file of its events, SOAK_FRONT its number; SOAK_SIGNAL a signal that comes as the process begins.
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <fcntl.h>
@@ -144,6 +144,11 @@
 
 }  // namespace
 
+// A signal that comes before main: SOAK_SIGNAL names it by its number.
+__attribute__((constructor)) void signalAtStart() {
+  if (const char* number = std::getenv("SOAK_SIGNAL")) raise(std::atoi(number));
+}
+
 extern "C" {
 
 int socket(int domain, int type, int protocol) noexcept {
