--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -379,7 +379,12 @@
 // time.
 void Front::left(int stmt) {
   const stages::Statement& st = book_.row(stmt);
-  if (st.open && scheduler_.now() <= st.giveUpAt + exchange::kStillOwed) ++account_.gone;
+  if (st.open && scheduler_.now() <= st.giveUpAt + exchange::kStillOwed)
+    ++account_.gone;
+  else if (st.open)
+    log::line("left_unanswered", "id=%s late_ms=%lld waited_ms=%lld", st.id.c_str(),
+              static_cast<long long>((scheduler_.now() - st.giveUpAt).us / 1000),
+              static_cast<long long>((scheduler_.now() - st.came).us / 1000));
   admit_.withdraw(stmt, scheduler_.now());
   book_.touch();
 }
--- a/src/peers/clients.cpp
+++ b/src/peers/clients.cpp
@@ -287,7 +287,7 @@
   if (unanswered > 0 && !byClient)
     guard::violated(guard::Rule::answer, "end=%s statements=%zu", nameOf(s.reason), unanswered);
   else if (unanswered > 0)
-    log::line("client_left", "end=%s statements=%zu", nameOf(s.reason), unanswered);
+    log::line("client_left", "end=%s open=%zu unsaid=%zu", nameOf(s.reason), s.talk->owed(), unsaid);
   if (s.talk->owed() > 0) s.talk->left();
   if (byClient)
     account_.gone += unsaid;
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -173,6 +173,28 @@
 
 }  // namespace
 
+namespace {
+
+// Connections that are made and say nothing, as many as the control asks for.
+void runCrowd(Control& control, const ClientOptions& options) {
+  std::vector<int> silent;
+  while (!control.stop) {
+    while (static_cast<int>(silent.size()) < control.crowd) {
+      int front = static_cast<int>(silent.size()) % options.fronts;
+      int socket = connectTo(frontHost(front), control.frontPort[front], 200);
+      if (socket < 0) break;
+      if (silent.size() % 2) writeAll(socket, startupMessage());
+      silent.push_back(socket);
+    }
+    if (control.crowd == 0)
+      while (!silent.empty()) close(silent.back()), silent.pop_back();
+    usleep(20'000);
+  }
+  for (int socket : silent) close(socket);
+}
+
+}  // namespace
+
 void runClients(Control& control, const ClientOptions& options) {
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   std::signal(SIGPIPE, SIG_IGN);
@@ -180,6 +202,7 @@
   std::vector<std::thread> threads;
   for (int k = 0; k < options.threads; ++k)
     threads.emplace_back([&, k] { Client(control, options, k, recorder).run(); });
+  threads.emplace_back([&] { runCrowd(control, options); });
   for (std::thread& t : threads) t.join();
   _exit(0);
 }
--- a/tests/soak/control.h
+++ b/tests/soak/control.h
@@ -42,6 +42,7 @@
   std::atomic<int> resetLists;          // counted up to reset all watches
   std::atomic<bool> stop;               // clients ask nothing new
   std::atomic<int> leaveBurst;          // counted up: clients that wait for an answer leave
+  std::atomic<int> crowd;  // connections of each client process that say nothing
   std::atomic<int> leavesOneIn, pipelinesOneIn, stopsOneIn, restsOneIn, garbageOneIn;
   std::atomic<int> thinkUs;
   std::atomic<int> frontPort[kFronts];
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -18,6 +18,7 @@
   bind,
   interrupt,     // receiving, sending and waiting, by EINTR
   read,          // of files and signals
+  wait,          // stops only: behind one that has brought events
   shortReceive,  // so few bytes come at a time
   shortSend,
   count
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -18,6 +18,9 @@
   std::string program, library, folder;
   std::uint64_t seed = 0;
   int fronts = 4, groups = 2, storesPerGroup = 4, spareStores = 6, clientProcesses = 6;
+  // Of the fronts' settings.
+  int descriptors = 256, repeatWindowMs = 1'000, mostAttempts = 4, drainGraceMs = 250;
+  bool secondCopies = true, mayCancel = true, asksForList = false;
 };
 
 class Fleet {
@@ -71,6 +74,7 @@
 
   template <class F>
   pid_t forkPeer(F run);
+  std::string settings() const;
   std::string path(const std::string& name) const { return options_.folder + "/" + name; }
   void configure(int front);
   bool answers(int front) const;
--- a/tests/soak/troubles.h
+++ b/tests/soak/troubles.h
@@ -37,6 +37,8 @@
   StoreControl& store(int k) { return fleet_.control().stores[k]; }
   void setFor(std::atomic<int>& what, int value, std::int64_t us);
   void setFor(std::atomic<bool>& what, std::int64_t us);
+  void endFront(int front);
+  void holdUp(int front);
   void restartOnceEnded(int front);
 
   // fronts
@@ -72,11 +74,15 @@
   void clientsPipeline();
   void clientsMisbehave();
   void clientsHurry();
+  void clientsCrowd();
+  void leavesWithReset();
+  void endsHeldUp();
 
   static const Trouble kAll[];
   Fleet& fleet_;
   std::mt19937_64 chance_;
   std::multimap<std::int64_t, std::function<void()>> later_;
+  std::map<int, std::int64_t> heldUpAt_;
   bool stepped_ = false, ending_ = false;
 };
 
