A round knows all that had come by its own time, also where it was held up behind its wait

Cause: Scheduler::wait took its events, then the time. Held up between the two (SIGSTOP, a used-up share of a core), the round counted as new with old events: a client's end, a drain or a word on a role that had come meanwhile was missing from it, and the guard's look at the kernel (taken where the round is old) did not happen. Where a wait took over 10 ms, the events are collected once more behind the look at the clock.

--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t kLongestWait = 1'000'000;
 // Batches of events that are noted before the first coroutine runs.
 constexpr int kBatchesAtOnce = 64;
+// A wait that took longer may have been followed by a hold-up.
+constexpr Span kHeldUp{10'000};
 // Until a call that failed for want of memory is made again.
 constexpr Span kRetryPause{2'000};
 
@@ -111,13 +113,18 @@
   if (!timers_.empty()) until = std::min(until, timers_.begin()->first.first);
   for (const auto& [descriptor, due] : retries_) until = std::min(until, due);
   Span left = again_ || !ready_.empty() ? Span{} : std::clamp(until - now_, Span{}, Span{kLongestWait});
+  TimePoint begun = monotonicNow();
   int n = waitForEvents(events, left);
   readClock();
   // Danger: a coroutine may close a descriptor whose events are still in hand, and its number may be used again at
   // once; and what a round decides rests on all that has come: a client's end in the next batch would be seen too
   // late. So all events are noted before the first coroutine runs.
   noteEvents(events, n);
-  for (int batch = 1; n == kEventsAtOnce && batch < kBatchesAtOnce; ++batch) {
+  // Danger: the process may have been held up between the wait and the look at the clock; then these events are older
+  // than the round, and what has come since would be missing from it.
+  bool mayBeOld = now_ - begun >= kHeldUp;
+  for (int batch = 1; (n == kEventsAtOnce || mayBeOld) && batch < kBatchesAtOnce; ++batch) {
+    mayBeOld = false;
     n = waitForEvents(events, Span{});
     noteEvents(events, n);
   }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -31,7 +31,7 @@
   Scheduler(const Scheduler&) = delete;
   Scheduler& operator=(const Scheduler&) = delete;
 
-  // The time of this round, by the monotonic clock.
+  // The time of this round, by the monotonic clock: all that had come by then is known to it, or nearly so.
   TimePoint now() const { return now_; }
   // The same clock read at this instant: where a round may have been held up and what follows must not be late.
   TimePoint instant() const;
