--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -1010,6 +1010,21 @@
               reads > 0 ? "yes" : "no");
 }
 
+// A report names the primary between the send of a write and its answer as primary: that answer still makes it sure, and
+// bounded reads that find no fresh replica go there.
+void reportCrosses() {
+  Bench b(Bench::terms({kBounded, kWrite}));
+  b.quiet = true;
+  b.list(2, -1);
+  int write = b.ask(1);
+  int primary = b.last;
+  b.pass(20);
+  b.report(primary, 5, true);
+  b.answer(write, Ending::ok, Role::primary, 0, -1, 25);
+  b.ask(0, 2000, 50);
+  std::printf("a bounded read after that: %s\n", b.last == primary ? "sent to it" : "waits");
+}
+
 // Danger: a light front hears of a jam once in seconds. By one small cut each, a hundred of them held a primary's
 // queue at three seconds; its writes were late, and it looked silent.
 void jammedPrimary() {
@@ -1081,6 +1096,7 @@
     {"paceReturns", paceReturns}, {"coldPrimary", coldPrimary}, {"firstReads", firstReads},
     {"looks", looks}, {"primaryFirst", primaryFirst}, {"zoneDoubt", zoneDoubt}, {"coldSum", coldSum}, {"zoneShares", zoneShares}, {"hostsShared", hostsShared}, {"jammedPrimary", jammedPrimary}, {"searchInVain", searchInVain},
     {"othersKeep", othersKeep}, {"unasked", unasked}, {"primaryReturns", primaryReturns},
+    {"reportCrosses", reportCrosses},
     {"lateWait", lateWait}, {"oneEnd", oneEnd}, {"places", places}, {"oneInVain", oneInVain}, {"oneConnection", oneConnection}, {"sendBy", sendBy},
                        {"clockSteps", clockSteps}, {"cutOff", cutOff},
 };
