--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -367,8 +367,11 @@
   if (role == Role::unknown || stores_.group[s] < 0) return;
   GroupState& g = groups_[stores_.group[s]];
   if (role == Role::primary) {
-    if (at <= stores_.primaryAt[s] || at <= stores_.replicaAt[s]) return;
+    if (at <= stores_.replicaAt[s]) return;
     if (!byReport && at <= stores_.doubtedAt[s]) return;
+    // Danger: a report may come between the send of what it answers as primary and that answer, and seem newer.
+    if (!byReport && g.primary == s) g.named = Named::surely;
+    if (at <= stores_.primaryAt[s]) return;
     stores_.primaryAt[s] = at, stores_.role[s] = role;
     // Danger: two stores claim the role; the one seen in it last has it.
     if (g.primary != s && (g.primary < 0 || stores_.primaryAt[g.primary] < at))
