--- a/src/peers/session.cpp
+++ b/src/peers/session.cpp
@@ -80,7 +80,7 @@
   if (used > 0) in.erase(0, used), used = 0;
   // Danger: what stood unread for a while, as there was no room for it, came at any moment of that.
   std::size_t had = in.size();
-  TimePoint now = scheduler.now(), since = std::exchange(unseenSince, kNever);
+  TimePoint now = scheduler.now(), since = unseenSince;
   if (since == kNever) {
     since = socket.unreadSince();
   } else {
@@ -88,6 +88,8 @@
     since = std::max(since, now - ago.value_or(oldestUnseen));
   }
   sched::Socket::Got got = socket.read(in, most);
+  // It may be read in pieces, of which the last came as early as the first.
+  if (socket.sawEmpty()) unseenSince = kNever;
   arrivals.came(in.size() - had, since == kNever ? now : std::min(since, now));
   gone |= got == sched::Socket::Got::ended && socket.open();
   return got;
--- a/src/sched/socket.cpp
+++ b/src/sched/socket.cpp
@@ -99,6 +99,7 @@
 
 Socket::Got Socket::read(std::string& into, std::size_t most) {
   bool some = false;
+  sawEmpty_ = false;
   while (open() && into.size() < most) {
     // Where much has come already, more is likely to be there.
     std::size_t had = into.size(), step = std::min(had < kReadStep ? kReadStep : kLongStep, most - had);
@@ -108,7 +109,6 @@
     into.resize(had + static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
     if (n > 0) {
       some = true;
-      if (static_cast<std::size_t>(n) < step) readEmpty();
       // Danger: an end that came together with the bytes has no edge of its own; whoever waits for one hears of it
       // only where reading goes on up to it.
       if (static_cast<std::size_t>(n) < step && !peerEnded()) return Got::some;
@@ -116,6 +116,7 @@
       continue;
     } else if (n < 0 && (why == EAGAIN || why == EWOULDBLOCK)) {
       readEmpty();
+      sawEmpty_ = true;
       return some ? Got::some : Got::nothing;
     } else if (n < 0 && lacksMemory(why)) {
       retryLater();
--- a/src/sched/socket.h
+++ b/src/sched/socket.h
@@ -50,6 +50,8 @@
   // Appends what has come to `into`, at most until it holds `most` bytes. `ended`: nothing more will come. Where the
   // kernel lacks memory nothing comes for now, and `in` is set in a moment.
   Got read(std::string& into, std::size_t most);
+  // Did the last read find that nothing was left? A short one alone doesn't tell.
+  bool sawEmpty() const { return sawEmpty_; }
   // Did it end by a reset? Then what came may lack its end.
   bool wasReset() const { return wasReset_; }
   // Writes what the kernel takes now and returns the rest; nothing once the connection is broken. Where the kernel
@@ -59,7 +61,7 @@
   void endWriting();
 
  private:
-  bool wasReset_ = false;
+  bool wasReset_ = false, sawEmpty_ = false;
 };
 
 // Writes all; false where the connection broke or the time came before the kernel had taken the last byte.
