Tests: no SIGCONT to a front that is exiting under the leak checker

bothFrontLeaves failed in the sanitized build, 4 of 4 beside each other and once in the whole suite (passes alone; 4 of 4 as found): the front had told its end and spun for 10 s of processor time beside a sleeping tracer, which ptrace refused to a debugger. The leak checker attaches by a stop that Drive's SIGCONT takes away.

--- a/tests/drive.h
+++ b/tests/drive.h
@@ -250,7 +250,9 @@
   }
   // Ends it as a restart does.
   void ends() {
-    signal(SIGTERM), goOn();
+    signal(SIGTERM);
+    // Danger: one that exits is traced by the leak checker, which waits for its stop; SIGCONT would take that away.
+    if (stands()) goOn();
     if (int status = hasEnded(); status != 0) std::printf("the front ended with %d\n", status);
   }
   // Its exit status. Whatever a test is about, all that was taken is answered by then, or its client has
