--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -271,6 +271,7 @@
   configure(front);
   FrontProcess& f = frontAt(front);
   recorder_.add({.kind = Kind::frontStarted, .front = front});
+  ++f.starts;
   f.pid = fork();
   if (f.pid != 0) return;
   prctl(PR_SET_PDEATHSIG, SIGKILL);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -53,6 +53,7 @@
   // Writes its configuration, with either agent for its list, and tells it to read that.
   void reloadFront(int front, int agent);
   bool frontRuns(int front) const { return fronts_[static_cast<std::size_t>(front)].pid > 0; }
+  int frontStarts(int front) const { return fronts_[static_cast<std::size_t>(front)].starts; }
   std::int64_t frontEndedAt(int front) const { return fronts_[static_cast<std::size_t>(front)].endedAt; }
 
   Control& control() { return *control_; }
@@ -66,6 +67,7 @@
   struct FrontProcess {
     pid_t pid = -1;
     std::int64_t endedAt = 0;
+    int starts = 0;
     FrontControl* faults = nullptr;
     std::string faultsPath, configPath;
     int agentPorts[2] = {0, 0};
--- a/tests/soak/oracle.cpp
+++ b/tests/soak/oracle.cpp
@@ -87,8 +87,12 @@
           ++verdict_.attempts;
           break;
         case Kind::attemptWhole:
-          for (Attempt& a : s->attempts)
-            if (a.began.port == e.port) a.whole = true;
+          // Of two on the same way it is the later: the first broke off.
+          for (auto a = s->attempts.rbegin(); a != s->attempts.rend(); ++a)
+            if (a->began.port == e.port) {
+              a->whole = true;
+              break;
+            }
           break;
         case Kind::storeRan:
           s->runs.push_back(e);
--- a/tests/soak/troubles.cpp
+++ b/tests/soak/troubles.cpp
@@ -125,9 +125,15 @@
 
 // ---- fronts ----
 
-void Troubles::restartOnceEnded(int front) {
-  after(20'000, [this, front] {
-    if (fleet_.frontRuns(front)) return restartOnceEnded(front);
+void Troubles::restartOnceEnded(int front) { restartOnceEnded(front, fleet_.frontStarts(front)); }
+
+// `starts`: how often it has been started. Danger: told to end twice, it is started once, and runs on for
+// good.
+void Troubles::restartOnceEnded(int front, int starts) {
+  after(20'000, [this, front, starts] {
+    bool same = fleet_.frontStarts(front) == starts;
+    if (fleet_.frontRuns(front) && same) return restartOnceEnded(front, starts);
+    if (fleet_.frontRuns(front)) return;
     after(between(0, 300), [this, front] {
       if (!fleet_.frontRuns(front)) fleet_.startFront(front);
     });
--- a/tests/soak/troubles.h
+++ b/tests/soak/troubles.h
@@ -40,6 +40,7 @@
   void endFront(int front);
   void holdUp(int front);
   void restartOnceEnded(int front);
+  void restartOnceEnded(int front, int starts);
 
   // fronts
   void terminates();
