--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -77,13 +77,16 @@
            !guard_.drained(job.store, terms_.drainGrace, now);
   Statement& st = row(job.stmt);
   auto execution = static_cast<std::size_t>(job.execution);
+  // Written once more, as its store had lost the texts that it needs, it has not run itself.
+  TimePoint& leftAt = st.attempts[execution].leftAt;
+  leftAt = kNever;
   guard::Departure d;
   d.workload = st.workload, d.store = job.store;
   d.open = st.open, d.clientGone = st.open && st.asker->gone(), d.cancelled = job.cancelled;
   d.until = job.until, d.sendBy = job.sendBy;
   guard::Refusal why = guard_.mayLeave(d, st.attempts, now);
   if (why == guard::Refusal::none) {
-    st.attempts[execution].leftAt = now;
+    leftAt = now;
     return true;
   }
   ++refused_[static_cast<std::size_t>(why)];
--- a/tests/both.cpp
+++ b/tests/both.cpp
@@ -331,6 +331,7 @@
   s.ask(*c, "a write", {.what = What::write, .workload = "once", .key = "w"});
   for (int k = 0; k < 3; ++k) s.d.toy.forgetPrepared(k);
   s.ask(*c, "a batch", {.what = What::batch, .workload = "once", .key = "w"});
+  s.say(std::string("refused on its way: ") + (s.d.logged(" attempt_refused ") ? "yes" : "no"));
 }
 
 constexpr Case kCases[] = {
