Read once more: one notion of an old round, dead soak state out, twins of a test joined

The scheduler and the session each had a constant for a round that may be old; roundIsOld() serves both. Two soak members and a condition that was always true did nothing.

--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -121,6 +121,7 @@
   std::optional<bool> primary;
 };
 
+// As the log words it.
 const char* nameOf(Ending ending);
 
 // One message to a store and what came of it: an execution of a statement, or a probe.
--- a/src/peers/session.cpp
+++ b/src/peers/session.cpp
@@ -8,13 +8,6 @@
 #include "log/log.h"
 
 namespace reedchute::peers {
-namespace {
-
-// A round that began so long ago no longer tells whether a client is there.
-constexpr Span kRoundIsOld{10'000};
-
-}  // namespace
-
 const char* nameOf(EndReason reason) {
   switch (reason) {
     case EndReason::client:
@@ -64,7 +57,7 @@
 // meanwhile.
 bool Session::clientGone() const {
   if (!socket.open() || socket.peerEnded()) return true;
-  if (scheduler.instant() - scheduler.now() < kRoundIsOld) return false;
+  if (!scheduler.roundIsOld()) return false;
   pollfd look{socket.fd(), POLLRDHUP, 0};
   return poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -18,8 +18,6 @@
 constexpr std::int64_t kLongestWait = 1'000'000;
 // Batches of events that are noted before the first coroutine runs.
 constexpr int kBatchesAtOnce = 64;
-// A wait that took longer may have been followed by a hold-up.
-constexpr Span kHeldUp{10'000};
 // Until a call that failed for want of memory is made again.
 constexpr Span kRetryPause{2'000};
 
@@ -122,7 +120,7 @@
   noteEvents(events, n);
   // Danger: the process may have been held up between the wait and the look at the clock; then these events are older
   // than the round, and what has come since would be missing from it.
-  bool mayBeOld = now_ - begun >= kHeldUp;
+  bool mayBeOld = now_ - begun >= kOldRound;
   for (int batch = 1; (n == kEventsAtOnce || mayBeOld) && batch < kBatchesAtOnce; ++batch) {
     mayBeOld = false;
     n = waitForEvents(events, Span{});
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -35,6 +35,8 @@
   TimePoint now() const { return now_; }
   // The same clock read at this instant: where a round may have been held up and what follows must not be late.
   TimePoint instant() const;
+  // Has this round gone on for so long, or been held up, that more may have come than it knows of?
+  bool roundIsOld() const { return instant() - now_ >= kOldRound; }
   // Moments of the wall clock, as it stood when this round began.
   const WallClock& wall() const { return wall_; }
   // Told at the beginning of a round, before anything that it woke runs, when the wall clock has been set by `least` or
@@ -56,6 +58,8 @@
   friend class Event;
   friend class Descriptor;
 
+  static constexpr Span kOldRound{10'000};
+
   struct Root;
   using Timers = std::map<std::pair<TimePoint, std::uint64_t>, Event*>;
 
--- a/tests/carrier.cpp
+++ b/tests/carrier.cpp
@@ -236,10 +236,8 @@
   }
 }
 
-// The kernel takes the first part of a statement and no more, as its store reads nothing: its last byte would leave
-// after the moment by which it has to.
-void heldUp() {
-  Pair p;
+// A connection that has answered once; the next statement is longer than the kernel takes.
+void readyForLong(Pair& p) {
   p.comes("orders");
   p.peer->write(pg::greeting());
   p.comes("SELECT 1");
@@ -247,6 +245,13 @@
   p.ends();
   p.done = false;
   p.query.text += std::string(24 << 20, ' ');
+}
+
+// The kernel takes the first part of a statement and no more, as its store reads nothing: its last byte would leave
+// after the moment by which it has to.
+void heldUp() {
+  Pair p;
+  readyForLong(p);
   TimePoint by = p.s.now() + ms(300);
   p.give(by);
   std::printf("held up while it is written: ");
@@ -260,13 +265,7 @@
 // What a store is told of its client's time holds for the last byte too: written a while later, it would be untrue.
 void toldLate() {
   Pair p;
-  p.comes("orders");
-  p.peer->write(pg::greeting());
-  p.comes("SELECT 1");
-  p.peer->write(row() + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready());
-  p.ends();
-  p.done = false;
-  p.query.text += std::string(24 << 20, ' ');
+  readyForLong(p);
   p.give();
   std::printf("its store reads nothing for 0.4 s: ");
   for (TimePoint until = p.s.now() + ms(400); p.s.now() < until;) p.pass();
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -160,7 +160,7 @@
 
 void Fleet::startStore(int store, bool withOldData) {
   StoreControl& s = control_->stores[store];
-  if (!withOldData || monotonicUs() > 0) s.frozenAt = 0;
+  s.frozenAt = 0;
   StoreOptions o{store, path("store" + std::to_string(store) + ".events")};
   recorder_.add({.kind = Kind::storeStarted,
                  .store = store,
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -17,8 +17,7 @@
 class Store {
  public:
   Store(Control& control, const StoreOptions& options)
-      : all_(control),
-        control_(control.stores[options.index]),
+      : control_(control.stores[options.index]),
         index_(options.index),
         recorder_(options.events) {}
 
@@ -102,7 +101,6 @@
     return writeAll(socket, bytes + role() + readyMessage());
   }
 
-  Control& all_;
   StoreControl& control_;
   int index_;
   Recorder recorder_;
--- a/tests/soak/troubles.cpp
+++ b/tests/soak/troubles.cpp
@@ -63,7 +63,6 @@
     drawSome();
     pass(monotonicUs() + between(150, 1'000));
   }
-  ending_ = true;
   while (!later_.empty()) pass(later_.begin()->first);
 }
 
--- a/tests/soak/troubles.h
+++ b/tests/soak/troubles.h
@@ -84,7 +84,7 @@
   std::mt19937_64 chance_;
   std::multimap<std::int64_t, std::function<void()>> later_;
   std::map<int, std::int64_t> heldUpAt_;
-  bool stepped_ = false, ending_ = false;
+  bool stepped_ = false;
 };
 
 }  // namespace soak
