New connection's later bytes count from the first unread one (behindMuch)

Callers saw late statements sent to a store, where they were owed a prompt rejection: 20 of 40 that stood behind a write of 900 ms with 400 ms each.

Cause: until a new connection had been read empty once, each read took the kernel's time of the last received bytes for that of all unread ones. Where the window was filled anew a moment before, bytes that had waited for 0.9 s counted from 4 ms ago.

Fix: the earlier of that and the first unread byte's time counts.

--- a/src/client/session.cpp
+++ b/src/client/session.cpp
@@ -69,11 +69,14 @@
 }
 
 // Since when the bytes that are read next may have been there. A new connection's may have come at
-// any moment since it could have been accepted.
+// any moment since it could have been accepted. The last bytes that were received may stand behind
+// older ones (test behindMuch).
 TimePoint Session::earliestArrival() const {
-  if (acceptableSince_ == kNever) return socket.unreadSince();
+  TimePoint unreadSince = socket.unreadSince();
+  if (acceptableSince_ == kNever) return unreadSince;
   Duration ago = runtime::timeSinceLastReceive(socket.fd()).value_or(maxAcceptWait_);
-  return std::max(acceptableSince_, scheduler_.now() - ago);
+  TimePoint earliest = std::max(acceptableSince_, scheduler_.now() - ago);
+  return unreadSince == kNever ? earliest : std::min(unreadSince, earliest);
 }
 
 runtime::Socket::ReadStatus Session::read(std::size_t maxBytes) {
