Shutdown: connections that owe nothing no longer hold the process

Operators saw processes that had not ended when SIGKILL came: up to 2.1 s after SIGTERM where nothing was owed, 15 s where a client left its answer unread.

Cause: clients in the middle of a message kept their whole message timeout, closing connections a whole connect time-out, unread answers a whole keepalive, also while the process shut down. A reload was carried out though nobody needed it, and its own closing of the old watch was logged as an invalid response.

Fix: while draining, each of these waits has its own short end.

--- a/src/client/client_limits.h
+++ b/src/client/client_limits.h
@@ -9,6 +9,14 @@
 
 inline constexpr std::size_t kReadAheadBytes = 16 * 1024;  // of a client that awaits a response
 
+// Once the proxy shuts down, a connection that owes its client nothing is kept for no longer:
+inline constexpr Duration kDrainMessageTime{50'000};  // for a client to finish a message
+inline constexpr Duration kDrainIdleTime{50'000};     // for a client to send its next request
+inline constexpr Duration kDrainLinger{50'000};       // for a client to read what was written last
+// The least time from the drain's beginning in which a client may read its connection's end before
+// it is closed over a request that crosses the end (test restingShut).
+inline constexpr Duration kMinDrainTime{120'000};
+
 struct ClientLimits {
   std::size_t maxSessions = 0;
   Duration linger;                 // for a client to read its final message
--- a/src/client/client_protocol.h
+++ b/src/client/client_protocol.h
@@ -19,6 +19,7 @@
   memoryLimit,     // its message is too long for the memory that is left
   startupTimeout,  // it didn't complete the protocol's startup in time
   messageTimeout,  // it left a message unfinished
+  draining,        // it left a message unfinished as the proxy shuts down
 };
 
 // The connection as the codec sees it. Bytes go out in the order in which they were given.
--- a/src/client/session_loop.cpp
+++ b/src/client/session_loop.cpp
@@ -1,5 +1,7 @@
 #include "client/session_loop.h"
 
+#include <algorithm>
+
 #include "invariants/violations.h"
 #include "log/log.h"
 
@@ -107,7 +109,8 @@
     context_.registry.evictIdle();
   TimePoint until = now + context_.limits.idleTimeout;
   if (context_.registry.isDraining())
-    until = session_.idleSince + context_.limits.firstRequestGrace * kDrainIdleGraces;
+    until = session_.idleSince +
+            std::min(context_.limits.firstRequestGrace * kDrainIdleGraces, kDrainIdleTime);
   if (until > now) {
     WaitFor what = session_.hasSentRequest ? WaitFor::nextRequest : WaitFor::firstRequest;
     bool isSet = co_await context_.registry.wait(session_, session_.socket.readable, what, until);
@@ -132,10 +135,28 @@
     co_return;
   }
   if (session_.messageBegunAt == kNever) session_.messageBegunAt = context_.scheduler.now();
+  TimePoint until = messageDeadline();
+  bool isInTime = until > context_.scheduler.now();
+  if (isInTime)
+    isInTime = co_await context_.registry.wait(session_, readable, WaitFor::firstRequest, until);
+  if (!isInTime) disconnectSlowClient();
+}
+
+TimePoint SessionLoop::messageDeadline() const {
   TimePoint until = session_.messageBegunAt + context_.limits.messageTimeout;
-  bool isSet = co_await context_.registry.wait(session_, readable, WaitFor::firstRequest, until);
-  if (isSet) co_return;
+  if (!context_.registry.isDraining()) return until;
+  TimePoint drainFrom = std::max(session_.messageBegunAt, context_.registry.drainingSince());
+  return std::min(until, drainFrom + kDrainMessageTime);
+}
+
+// While the proxy drains, a client that has sent nothing is treated like an idle one, and one in
+// the middle of a message is refused, so that it sends it elsewhere.
+void SessionLoop::disconnectSlowClient() {
   bool hasStarted = session_.codec->hasCompletedStartup();
+  if (context_.registry.isDraining()) {
+    if (session_.unread().empty()) return session_.finish(CloseReason::draining);
+    return session_.codec->disconnect(DisconnectReason::draining);
+  }
   log::line("client_timeout", "what=%s", hasStarted ? "message" : "startup");
   session_.codec->disconnect(hasStarted ? DisconnectReason::messageTimeout
                                         : DisconnectReason::startupTimeout);
@@ -170,7 +191,7 @@
 runtime::Task<> SessionLoop::closeAfterFinalMessage() {
   bool isWritten = co_await writer_.flush();
   session_.socket.shutdownWrite();
-  TimePoint until = context_.scheduler.now() + context_.limits.linger;
+  TimePoint begun = context_.scheduler.now();
   std::size_t discarded = 0;
   while (isWritten && session_.socket.isOpen() && discarded < kMaxDiscardedBytes) {
     runtime::Socket::ReadStatus status = session_.discardAndRead();
@@ -181,7 +202,7 @@
       continue;
     }
     bool isSet = co_await context_.registry.wait(session_, session_.socket.readable, WaitFor::close,
-                                                 until);
+                                                 lingerDeadline(begun));
     if (!isSet) break;
   }
 }
@@ -193,10 +214,17 @@
 runtime::Task<> SessionLoop::closeLeavingInputUnread() {
   bool isWaiting = co_await writer_.flush();
   session_.socket.shutdownWrite();
-  TimePoint until = context_.scheduler.now() + context_.limits.linger;
+  TimePoint begun = context_.scheduler.now();
   while (isWaiting && session_.socket.isOpen() && !session_.socket.hasPeerClosed())
     isWaiting = co_await context_.registry.wait(session_, session_.socket.readable, WaitFor::close,
-                                                until);
+                                                lingerDeadline(begun));
+}
+
+TimePoint SessionLoop::lingerDeadline(TimePoint begun) const {
+  TimePoint until = begun + context_.limits.linger;
+  if (!context_.registry.isDraining()) return until;
+  TimePoint drainFrom = context_.registry.drainingSince();
+  return std::min(until, std::max(begun + kDrainLinger, drainFrom + kMinDrainTime));
 }
 
 void SessionLoop::settle() {
--- a/src/client/session_loop.h
+++ b/src/client/session_loop.h
@@ -29,6 +29,9 @@
   runtime::Task<> waitForMessage();
   runtime::Task<> waitForResponse();
   std::size_t maxReadAheadBytes() const;
+  TimePoint messageDeadline() const;
+  void disconnectSlowClient();
+  TimePoint lingerDeadline(TimePoint begun) const;
   runtime::Task<> closeAfterFinalMessage();
   runtime::Task<> closeLeavingInputUnread();
   runtime::Task<> yieldToOthers();
--- a/src/client/session_registry.cpp
+++ b/src/client/session_registry.cpp
@@ -30,8 +30,11 @@
 }
 
 void SessionRegistry::drain() {
-  isDraining_ = true;
-  for (Session* session : sessions_) session->socket.readable.set();
+  drainingSince_ = scheduler_.now();
+  for (Session* session : sessions_) {
+    session->socket.readable.set();
+    session->socket.writable.set();
+  }
 }
 
 std::list<Session*>& SessionRegistry::queueFor(WaitFor what) {
--- a/src/client/session_registry.h
+++ b/src/client/session_registry.h
@@ -40,7 +40,8 @@
   }
   // From now on sessions end when they are idle, at once or after their response.
   void drain();
-  bool isDraining() const { return isDraining_; }
+  bool isDraining() const { return drainingSince_ != kNever; }
+  TimePoint drainingSince() const { return drainingSince_; }
 
   // Waits for `event` or `until`; the session may be closed meanwhile to make room.
   runtime::Task<bool> wait(Session& session, runtime::Event& event, WaitFor what, TimePoint until);
@@ -58,7 +59,7 @@
 
   runtime::Scheduler& scheduler_;
   const ClientLimits& limits_;
-  bool isDraining_ = false;
+  TimePoint drainingSince_ = kNever;
   std::list<Session*> sessions_;
   // Each has the session that has waited longest at its front.
   std::list<Session*> betweenRequests_;
--- a/src/client/session_writer.cpp
+++ b/src/client/session_writer.cpp
@@ -32,6 +32,7 @@
     }
     if (rest->empty()) co_return true;
     if (rest->size() < unsent.size() || until == kNever) until = writeDeadline();
+    if (context_.registry.isDraining()) until = std::min(until, drainDeadline());
     unsent = *rest;
     bool isWritable = co_await waitUntilWritable(until);
     if (!isWritable) co_return false;
@@ -42,11 +43,19 @@
 // time for each part that it takes, and at least until the last of its deadlines.
 TimePoint SessionWriter::writeDeadline() const {
   TimePoint now = context_.scheduler.now();
-  TimePoint lastDeadline = now;
-  for (TimePoint deadline : session_.sending.responseDeadlines)
-    lastDeadline = std::max(lastDeadline, deadline);
   return std::max(now + context_.limits.writeProgressTimeout,
-                  std::min(lastDeadline, now + context_.limits.messageTimeout));
+                  std::min(lastResponseDeadline(), now + context_.limits.messageTimeout));
+}
+
+// While the proxy drains, a client that reads slowly has what it has asked for, and no more.
+TimePoint SessionWriter::drainDeadline() const {
+  return std::max(lastResponseDeadline(), context_.registry.drainingSince() + kDrainLinger);
+}
+
+TimePoint SessionWriter::lastResponseDeadline() const {
+  TimePoint last = kNever;
+  for (TimePoint deadline : session_.sending.responseDeadlines) last = std::max(last, deadline);
+  return last;
 }
 
 // A client that reads nothing holds a place: once it has made no progress for a while it may be
--- a/src/client/session_writer.h
+++ b/src/client/session_writer.h
@@ -20,6 +20,8 @@
   runtime::Task<bool> writeSending();
   runtime::Task<bool> waitUntilWritable(TimePoint until);
   TimePoint writeDeadline() const;
+  TimePoint drainDeadline() const;
+  TimePoint lastResponseDeadline() const;
   bool areResponsesOverdue() const;
   void countResponses();
   void reuseBuffer(bool isWritten);
--- a/src/discovery/http_connection.cpp
+++ b/src/discovery/http_connection.cpp
@@ -82,6 +82,7 @@
       co_await runtime::sleepUntil(scheduler_, scheduler_.now() + kTurnForOthers);
     }
     runtime::Socket::ReadStatus got = socket_->read(in_, kMaxReadInARow);
+    if (!socket_->isOpen()) co_return false;  // close() was called meanwhile
     if (got == runtime::Socket::ReadStatus::closed) {
       response.ended(socket_->wasReset());
       co_return true;
--- a/src/protocols/cassandra/client_session.cpp
+++ b/src/protocols/cassandra/client_session.cpp
@@ -175,11 +175,8 @@
   // A client that has sent its next request already would meet the end of the connection with it,
   // so the connection closes only where this frame is the last one.
   bool mayClose = isLastReceived_ && pending_.isEmpty();
-  if (mayClose && !protocol_.handler().acceptsReceivedAt(arrivedAt_)) {
-    send(frame.stream, Opcode::error,
-         cql::errorBody(cql::kBootstrapping, "shutting down: ask another"));
-    return channel_.closeForDrain();
-  }
+  if (mayClose && !protocol_.handler().acceptsReceivedAt(arrivedAt_))
+    return sendShuttingDownAndClose(frame.stream);
   DecodeResult decoded = protocol_.decoder().decode(frame, keyspace_, protocol_.scheduler().now(),
                                                     protocol_.scheduler().wallClock());
   if (!decoded.useKeyspace.empty()) keyspace_ = decoded.useKeyspace;
@@ -206,6 +203,8 @@
     case client::DisconnectReason::messageTimeout:
       return sendErrorAndClose(kNoStream, cql::kProtocolError,
                                "a message that was not finished in time");
+    case client::DisconnectReason::draining:
+      return sendShuttingDownAndClose(kNoStream);
   }
 }
 
@@ -272,4 +271,9 @@
   channel_.closeAfterFlush();
 }
 
+void Session::sendShuttingDownAndClose(int stream) {
+  send(stream, Opcode::error, cql::errorBody(cql::kBootstrapping, "shutting down: ask another"));
+  channel_.closeForDrain();
+}
+
 }  // namespace reedchute::protocols::cassandra
--- a/src/protocols/cassandra/client_session.h
+++ b/src/protocols/cassandra/client_session.h
@@ -65,6 +65,7 @@
   // Sends an error after which the connection goes on.
   void sendProtocolError(int stream, std::string_view text);
   void sendErrorAndClose(int stream, std::int32_t code, std::string_view text);
+  void sendShuttingDownAndClose(int stream);
 
   ClientProtocol& protocol_;
   client::ClientChannel& channel_;
--- a/src/protocols/postgres/client_codec.cpp
+++ b/src/protocols/postgres/client_codec.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t kMaxStartupBytes = 10'000;  // as PostgreSQL has it
 constexpr std::int32_t kProtocolMajorVersion = 3;
 
+constexpr std::string_view kShuttingDown = "57P03";  // cannot_connect_now
+constexpr std::string_view kShuttingDownText = "this server is shutting down: ask another";
+
 // Message types of extended queries and copies, which are skipped up to the next Sync.
 constexpr std::string_view kSkippedTypes = "BEDCHdcfp";
 
@@ -103,6 +106,8 @@
       return close("08P01", "no startup message in time");
     case client::DisconnectReason::messageTimeout:
       return close("08P01", "a message that was not finished in time");
+    case client::DisconnectReason::draining:
+      return close(kShuttingDown, kShuttingDownText, AfterReply::closeForDrain);
   }
 }
 
@@ -186,7 +191,7 @@
   // A client that sends its next request at once would meet the end of the connection with it. It
   // is told with this one instead, of which nothing has run.
   if (isLast && replies_.empty() && !context_.handler.acceptsReceivedAt(receivedAt))
-    return close("57P03", "this server is shutting down: ask another", AfterReply::closeForDrain);
+    return close(kShuttingDown, kShuttingDownText, AfterReply::closeForDrain);
   auto decoded = context_.decoder.decode(text, context_.scheduler.now(),
                                          context_.scheduler.wallClock());
   if (auto* immediate = std::get_if<ImmediateReply>(&decoded))
--- a/src/proxy/config_reloader.cpp
+++ b/src/proxy/config_reloader.cpp
@@ -18,10 +18,11 @@
 runtime::Task<> ConfigReloader::run() {
   for (;;) {
     co_await requested_.wait();
+    if (isStopped_) break;
     runtime::Backoff backoff(config_.engineSettings.tick * kFirstRetryTicks,
                              config_.engineSettings.connectTimeout);
     TimePoint until = scheduler_.now() + kRetryWindow;
-    while (!reload() && scheduler_.now() < until) {
+    while (!isStopped_ && !reload() && scheduler_.now() < until) {
       TimePoint nextTry = scheduler_.now() + backoff.nextDelay(scheduler_.now());
       bool requestedAgain = co_await requested_.wait(nextTry);
       if (!requestedAgain) continue;
@@ -29,6 +30,7 @@
       backoff.reset();
     }
   }
+  log::line("reload_ignored", "what=\"shutting down\"");
 }
 
 bool ConfigReloader::reload() {
--- a/src/proxy/config_reloader.h
+++ b/src/proxy/config_reloader.h
@@ -20,6 +20,8 @@
 
   // Serves requests for as long as the process runs.
   runtime::Task<> run();
+  // From now on requests change nothing, which the log tells once.
+  void stop() { isStopped_ = true; }
 
  private:
   bool reload();  // false if the file can't be read
@@ -28,6 +30,7 @@
   config::Config& config_;
   discovery::EndpointWatcher& watcher_;
   runtime::Event requested_;
+  bool isStopped_ = false;
 };
 
 }  // namespace reedchute::proxy
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -168,8 +168,11 @@
   for (const auto& group : clients_) group->drain();
   for (const auto& group : clients_) co_await group->stopListening();
   // An exit while a response is being written would cut it off.
-  while (sessionCount(clients_) > 0)
+  while (sessionCount(clients_) > 0) {
+    // Whatever the discovery service may tell is only of use to statements.
+    if (statements_.openCount() == 0) reloader_.stop();
     co_await shutdownRequested_.wait(scheduler_.now() + config_.engineSettings.tick);
+  }
   scheduler_.stop();
 }
 
--- a/tests/client/arrival_clock_test.cpp
+++ b/tests/client/arrival_clock_test.cpp
@@ -23,13 +23,13 @@
 
 constexpr std::int64_t kStepMs = 1;
 constexpr std::int64_t kRunMs = 20'000;
-constexpr std::size_t kUnit = 1024;        // bytes; the model moves whole units
-constexpr std::size_t kWindow = 64;        // units
+constexpr std::size_t kUnit = 1024;  // bytes; the model moves whole units
+constexpr std::size_t kWindow = 64;  // units
 constexpr std::size_t kReceiveBuffer = 2 * kWindow;
 constexpr std::size_t kSendBuffer = 4096;  // units
 constexpr std::size_t kSegment = kWindow;  // units that come in one step
 constexpr std::int64_t kMaxRefillMs = 200;
-constexpr std::int64_t kQuietMs = 260;     // longer than any refill
+constexpr std::int64_t kQuietMs = 260;  // longer than any refill
 constexpr std::int64_t kLongStallMs = 10;
 constexpr std::int64_t kSlackMs = 150;  // that a store may be told more than is left
 
