--- a/src/client/client_connections.cpp
+++ b/src/client/client_connections.cpp
@@ -66,7 +66,10 @@
   }
 }
 
+// The final message answers the client's first request. Further ones that were read would have no
+// response, while unread ones are sent again by their client, elsewhere (test rejectedPipeline).
 runtime::Task<> ClientConnections::reject(std::unique_ptr<Session> session) {
+  session->leavesInputUnread = true;
   session->codec->disconnect(DisconnectReason::atCapacity);
   co_await serve(std::move(session));
   --rejectingCount_;
--- a/src/client/session.h
+++ b/src/client/session.h
@@ -72,6 +72,7 @@
   bool hasSentRequest = false;
   bool hasClientEnded = false;        // the client closed the connection, or reads nothing
   bool endedByMessage = false;        // what the client sent has ended the session
+  bool leavesInputUnread = false;     // also after a final message
   int decodedInARow = 0;              // messages, since the session last had nothing to read
   TimePoint messageBegunAt = kNever;  // when its first unfinished message was first waited for
   TimePoint idleSince = kNever;       // when it last came to await a request
--- a/src/client/session_loop.cpp
+++ b/src/client/session_loop.cpp
@@ -22,7 +22,7 @@
 runtime::Task<> SessionLoop::run() {
   co_await serveRequests();
   if (!session_.isEnding || !session_.socket.isOpen()) co_return;
-  if (session_.closeReason == CloseReason::finalMessage)
+  if (session_.closeReason == CloseReason::finalMessage && !session_.leavesInputUnread)
     co_await closeAfterFinalMessage();
   else
     co_await closeLeavingInputUnread();
--- a/tests/proxy/crossing_events_test.cpp
+++ b/tests/proxy/crossing_events_test.cpp
@@ -224,6 +224,27 @@
   std::printf("of the four: %d answered\n", one);
 }
 
+// A client for whom there is no place sends more behind its first request, as it is told so.
+void rejectedPipeline() {
+  constexpr int kPlaces = 27;
+  FaultyMachine machine;
+  Drive d(4, 64);
+  std::vector<std::unique_ptr<Client>> all;
+  std::string half = pg::query(Client::read("a")).substr(0, 20);
+  for (int k = 0; k < kPlaces; ++k) {
+    all.push_back(std::make_unique<Client>(d));
+    all.back()->send(pg::query(Client::read("slow700", 5000)) + half);
+  }
+  d.pass(100);
+  Client rejected(d, false);
+  rejected.send(pg::startup("web", "orders"));
+  std::string got = rejected.get(1);
+  for (int k = 0; k < 3; ++k) rejected.send(pg::query(Client::read("b")));
+  d.pass(50);
+  std::printf("one too many: %s; %ld bytes of what it asked then were read\n", got.c_str(),
+              machine.readAndDropped());
+}
+
 // Several clients wait in the kernel while nobody can be accepted: the time of each runs from when
 // it asked, also where what it sent is read in pieces.
 void waitsToBeAccepted() {
@@ -278,6 +299,7 @@
                        {"leavesBehindMany", leavesBehindMany},
                        {"roomOfNone", roomOfNone},
                        {"roomForSeveral", roomForSeveral},
+                       {"rejectedPipeline", rejectedPipeline},
                        {"waitsToBeAccepted", waitsToBeAccepted},
                        {"termSeenLate", termSeenLate}};
 
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -108,7 +108,8 @@
     for (int k = 0; k < count; ++k) {
       const Workload& w = kWorkloads[below(static_cast<unsigned>(std::size(kWorkloads)))];
       int deadlineMs = oneIn(25) ? 5 + static_cast<int>(below(60))
-                                 : 300 + static_cast<int>(below(1'200));
+                                 : kMinDeadlineMs +
+                                       static_cast<int>(below(kMaxDeadlineMs - kMinDeadlineMs));
       std::uint64_t id = prefix_ + ++counter_;
       bytes += queryMessage(statement(id, w, deadlineMs));
       asked.push_back({id, deadlineMs * 1000});
@@ -139,6 +140,8 @@
     while (next < asked.size()) {
       std::optional<Message> m = takeMessage(in_);
       if (m && (m->type == 'D' || m->type == 'E')) answered(asked[next].id, *m), ++next;
+      if (m && m->type == 'E' && isFatal(*m))
+        return next < asked.size() ? sawEnd(asked[next].id) : leave(0, false);
       if (m) continue;
       std::int64_t now = monotonicUs(),
                    until = std::min({leavesAt, last + kPatienceUs, now + 20'000});
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -38,7 +38,7 @@
       recorder_(options_.folder + "/controller.events"),
       fronts_(static_cast<std::size_t>(options_.fronts)) {
   control_->listVersion = 1;
-  control_->thinkUs = 20'000;
+  control_->thinkUs = options_.thinkUs;
 }
 
 Fleet::~Fleet() {
@@ -109,7 +109,7 @@
     for (int front = 0; front < options_.fronts; ++front) all = all && answers(front);
     if (!all) continue;
     for (int k = 0; k < options_.clientProcesses; ++k) {
-      ClientOptions c{k, 4, options_.fronts, options_.seed,
+      ClientOptions c{k, options_.threadsPerProcess, options_.fronts, options_.seed,
                       path("client" + std::to_string(k) + ".events")};
       clients_.push_back(forkPeer([&] { runClients(*control_, c); }));
     }
@@ -280,6 +280,7 @@
   FrontProcess& f = frontAt(front);
   recorder_.add({.kind = Kind::frontStarted, .front = front});
   ++f.starts;
+  f.isEnding = false;
   f.pid = fork();
   if (f.pid != 0) return;
   prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -301,9 +302,14 @@
 
 void Fleet::terminateFront(int front) {
   recorder_.add({.kind = Kind::frontTerminated, .front = front});
+  frontAt(front).isEnding = true;
   kill(frontAt(front).pid, SIGTERM);
 }
 
+void Fleet::signalAgain(int front) {
+  if (frontRuns(front)) kill(frontAt(front).pid, SIGTERM);
+}
+
 void Fleet::killFront(int front, bool overdue) {
   FrontProcess& f = frontAt(front);
   if (f.pid <= 0) return;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -22,6 +22,8 @@
   // Of the fronts' settings.
   int descriptors = 256, repeatWindowMs = 1'000, mostAttempts = 4, drainGraceMs = 250;
   bool secondCopies = true, mayCancel = true, asksForList = false;
+  // Of the clients.
+  int threadsPerProcess = 4, thinkUs = 20'000;
 };
 
 class Fleet {
@@ -54,6 +56,10 @@
   void stopFront(int front, bool stopped);
   // Writes its configuration, with either agent for its list, and tells it to read that.
   void reloadFront(int front, int agent);
+  // Sends SIGTERM once more.
+  void signalAgain(int front);
+  // Has it been told to end in this life?
+  bool frontIsEnding(int front) const { return fronts_[static_cast<std::size_t>(front)].isEnding; }
   bool frontRuns(int front) const { return fronts_[static_cast<std::size_t>(front)].pid > 0; }
   int frontStarts(int front) const { return fronts_[static_cast<std::size_t>(front)].starts; }
   std::int64_t frontEndedAt(int front) const {
@@ -72,6 +78,7 @@
     pid_t pid = -1;
     std::int64_t endedAt = 0;
     int starts = 0;
+    bool isEnding = false;
     FrontControl* faults = nullptr;
     std::string faultsPath, configPath;
     int agentPorts[2] = {0, 0};
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -69,6 +69,8 @@
   f.descriptors = seed % 4 == 1 ? 96 : 256;
   f.repeatWindowMs = seed % 2 ? 1'000 : 300;
   f.mostAttempts = 2 + static_cast<int>(seed % 4);
+  // At times many clients, on few processes.
+  if (seed % 12 == 7) f.threadsPerProcess = 40, f.thinkUs = 400'000, f.fronts = 2;
   bool good = true, stepped = false;
   {
     Fleet fleet(f);
--- a/tests/soak/oracle.cpp
+++ b/tests/soak/oracle.cpp
@@ -42,7 +42,8 @@
 struct FrontLife {
   std::int64_t from = 0, to = INT64_MAX;
   bool killed = false;
-  std::vector<Event> told;  // lists
+  std::vector<Event> told = {};  // lists
+  std::int64_t terminatedAt = INT64_MAX;
 };
 
 class Judge {
@@ -113,7 +114,10 @@
           primaries_[e.store].push_back(e.at);
           break;
         case Kind::frontStarted:
-          lives_[e.front].push_back({e.at, INT64_MAX, false, {}});
+          lives_[e.front].push_back({.from = e.at});
+          break;
+        case Kind::frontTerminated:
+          lives_[e.front].back().terminatedAt = std::min(lives_[e.front].back().terminatedAt, e.at);
           break;
         case Kind::frontKilled:
           lives_[e.front].back().killed = true, lives_[e.front].back().to = e.at;
@@ -166,14 +170,17 @@
   }
   static std::string ms(std::int64_t us) { return std::to_string(us / 1000) + " ms"; }
 
-  // Was its front killed since its connection was accepted?
+  // Was its front killed since its connection was accepted? Where it had been told to end, that
+  // excuses nothing that came more than 0.7 s later.
   bool killedMeanwhile(const Event& sent, std::int64_t until) const {
     auto lives = lives_.find(sent.front);
     if (lives == lives_.end()) return false;
     std::int64_t since = sent.at - options_.slackUs;
     if (auto accepted = acceptedAt(sent)) since = std::min(since, *accepted);
     for (const FrontLife& l : lives->second)
-      if (l.killed && l.to >= since && l.to <= until) return true;
+      if (l.killed && l.to >= since && l.to <= until &&
+          (l.terminatedAt == INT64_MAX || sent.at <= l.terminatedAt + kDrainUs))
+        return true;
     return false;
   }
 
--- a/tests/soak/oracle_test.cpp
+++ b/tests/soak/oracle_test.cpp
@@ -166,6 +166,19 @@
     drop(e, Kind::frontExited);
     e.push_back({.at = at(8000), .kind = Kind::frontKilled, .front = 0, .code = 1});
   });
+  // Told to end, the front answers nothing more, and is killed.
+  auto killed = [](Events& e, int sentMs) {
+    drop(e, Kind::clientAnswered), drop(e, Kind::frontExited), drop(e, Kind::frontClosed);
+    the(e, Kind::frontTerminated).at = at(-sentMs);
+    e.push_back({.at = at(2200 - sentMs), .kind = Kind::frontKilled, .front = 0, .code = 1});
+    e.push_back({.at = at(2201 - sentMs),
+                 .kind = Kind::clientSawEnd,
+                 .statement = 1,
+                 .front = 0,
+                 .port = kClientPort});
+  };
+  tell("killed, asked 0.5 s after SIGTERM", kAny, [&](Events& e) { killed(e, 500); });
+  tell("killed, asked 0.8 s after SIGTERM", kAny, [&](Events& e) { killed(e, 800); });
   tell("a cold store that is overrun", kAny, [](Events& e) {
     e.push_back({.at = at(500),
                  .kind = Kind::storeStarted,
--- a/tests/soak/peers.h
+++ b/tests/soak/peers.h
@@ -24,6 +24,13 @@
                                           {"write", Effect::deduplicated, true, 0},
                                           {"once", Effect::once, true, 0}};
 
+// The time that clients give a statement.
+inline constexpr int kMinDeadlineMs = 300;
+inline constexpr int kMaxDeadlineMs = 1'500;
+// The page: SIGKILL comes no earlier after SIGTERM than the longest of these times and 0.7 s.
+inline constexpr std::int64_t kDrainUs = 700'000;
+inline constexpr std::int64_t kKillAfterTermUs = kMaxDeadlineMs * 1'000 + kDrainUs;
+
 struct StoreOptions {
   int index = 0;
   std::string events;
--- a/tests/soak/sockets.cpp
+++ b/tests/soak/sockets.cpp
@@ -211,18 +211,30 @@
   return message('Z', "I");
 }
 
-std::string errorCode(const Message& error) {
+namespace {
+
+std::string errorField(const Message& error, char field) {
   std::string_view rest = error.payload;
   while (rest.size() > 1) {
     char name = rest[0];
     std::size_t end = rest.find('\0', 1);
     if (end == std::string_view::npos) break;
-    if (name == 'C') return std::string(rest.substr(1, end - 1));
+    if (name == field) return std::string(rest.substr(1, end - 1));
     rest.remove_prefix(end + 1);
   }
   return {};
 }
 
+}  // namespace
+
+std::string errorCode(const Message& error) {
+  return errorField(error, 'C');
+}
+
+bool isFatal(const Message& error) {
+  return errorField(error, 'S') == "FATAL";
+}
+
 std::string field(std::string_view text, std::string_view name) {
   std::string key(name);
   key += '=';
--- a/tests/soak/sockets.h
+++ b/tests/soak/sockets.h
@@ -43,6 +43,8 @@
 std::string rowMessage(std::string_view value);  // described, with the end of its command
 std::string readyMessage();
 std::string errorCode(const Message& error);
+// Whether the connection ends with it.
+bool isFatal(const Message& error);
 
 // The value of name=... in a statement's comment; empty where there is none.
 std::string field(std::string_view text, std::string_view name);
--- a/tests/soak/troubles.cpp
+++ b/tests/soak/troubles.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 constexpr std::int64_t kStepUs = 5'000;
-constexpr std::int64_t kStopUs = 140'000;         // a front may be held up for 0.15 s
-constexpr std::int64_t kKillAfterUs = 4'500'000;  // SIGKILL, so long after SIGTERM
-constexpr int kOften = 300, kNowAndThen = 40;     // of 1,024 calls
+constexpr std::int64_t kStopUs = 140'000;      // a front may be held up for 0.15 s
+constexpr std::int64_t kSeriesUs = 900'000;    // in which signals follow SIGTERM
+constexpr int kOften = 300, kNowAndThen = 40;  // of 1,024 calls
 
 }  // namespace
 
@@ -50,6 +50,9 @@
     {"a crowd that says nothing", &Troubles::clientsCrowd},
     {"clients leave as a front is held up and connections are reset", &Troubles::leavesWithReset},
     {"a front is told to end, held up, as stores hang", &Troubles::endsHeldUp},
+    {"a front is told to end in a crowd, as stores hang and the list is away",
+     &Troubles::endsInCrowd},
+    {"a front is told to end as it begins to serve", &Troubles::endsAsItServes},
 };
 
 Troubles::Troubles(Fleet& fleet, std::uint64_t seed)
@@ -150,17 +153,39 @@
   if (fleet_.frontRuns(front)) endFront(front);
 }
 
+// The kill comes as early as it may.
 void Troubles::endFront(int front) {
-  std::int64_t ended = fleet_.frontEndedAt(front);
+  if (fleet_.frontIsEnding(front)) return;
+  int starts = fleet_.frontStarts(front);
   fleet_.terminateFront(front);
-  after(kKillAfterUs, [this, front, ended] {
-    if (fleet_.frontEndedAt(front) == ended) fleet_.killFront(front, true);
+  after(kKillAfterTermUs, [this, front, starts] {
+    if (fleet_.frontStarts(front) == starts) fleet_.killFront(front, true);
   });
+  if (below(3) > 0) signalSeries(front);
+  if (below(3) == 0) clientsCrowd();
+  if (below(2) == 0) clientsHurry();
   restartOnceEnded(front);
 }
 
+// SIGTERM and SIGHUP come again, in any order, to the same process.
+void Troubles::signalSeries(int front) {
+  int starts = fleet_.frontStarts(front);
+  for (unsigned k = 0, n = 3 + below(2); k < n; ++k) {
+    bool reloads = below(2) == 0;
+    after(between(0, kSeriesUs / 1000), [this, front, starts, reloads] {
+      if (!fleet_.frontRuns(front) || fleet_.frontStarts(front) != starts) return;
+      if (reloads)
+        fleet_.reloadFront(front, static_cast<int>(below(2)));
+      else
+        fleet_.signalAgain(front);
+    });
+  }
+}
+
+// One that is told to end has its time.
 void Troubles::killsFront() {
   int front = anyFront();
+  if (fleet_.frontIsEnding(front)) return;
   fleet_.killFront(front);
   restartOnceEnded(front);
 }
@@ -355,6 +380,29 @@
   endFront(front);
 }
 
+void Troubles::endsInCrowd() {
+  int front = anyFront();
+  if (!fleet_.frontRuns(front)) return;
+  clientsCrowd();
+  hangsStores();
+  refusesList();
+  after(between(50, 400), [this, front] {
+    if (fleet_.frontRuns(front)) endFront(front);
+  });
+}
+
+void Troubles::endsAsItServes() {
+  int front = anyFront();
+  if (fleet_.frontIsEnding(front)) return;
+  fleet_.killFront(front);
+  after(between(10, 60), [this, front] {
+    if (!fleet_.frontRuns(front)) fleet_.startFront(front);
+    after(between(5, 120), [this, front] {
+      if (fleet_.frontRuns(front)) endFront(front);
+    });
+  });
+}
+
 void Troubles::clientsHurry() {
   setFor(fleet_.control().thinkUs, 0, between(500, 2'500));
 }
--- a/tests/soak/troubles.h
+++ b/tests/soak/troubles.h
@@ -38,6 +38,7 @@
   void setFor(std::atomic<int>& what, int value, std::int64_t us);
   void setFor(std::atomic<bool>& what, std::int64_t us);
   void endFront(int front);
+  void signalSeries(int front);
   void holdUp(int front);
   void restartOnceEnded(int front);
   void restartOnceEnded(int front, int starts);
@@ -78,6 +79,8 @@
   void clientsCrowd();
   void leavesWithReset();
   void endsHeldUp();
+  void endsInCrowd();
+  void endsAsItServes();
 
   static const Trouble kAll[];
   Fleet& fleet_;
