A starting process holds statements, not clients: late ones are rejected in time

Callers of a process that had just started and heard no list at once got an answer over half a second after their time, or none.

Cause: clients waited in the kernel's queue until the first list had come, up to two connect time-outs.

New test startsUnheard: a statement of 0.3 s answered after 4 s by the program as found.

Fix: clients are accepted at once, the engine holds their statements until the list has come or the wait is over, and gives up what runs out of time.

--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -68,6 +68,13 @@
   waiting_[statement.group].push_back(statement.id);
 }
 
+void Admission::release(TimePoint now) {
+  if (!isHeld_) return;
+  isHeld_ = false;
+  for (const std::vector<int>& waiting : waiting_)
+    for (int id : waiting) statements_[id].arrived = now;
+}
+
 Duration Admission::startTime(int workload) const {
   Duration typical = stores_.statistics.typicalTime(workload);
   Duration most = settings_.workloads[workload].slo * kMostStartTime;
@@ -104,7 +111,8 @@
   for (int id : waiting_[group]) {
     StatementState& statement = statements_[id];
     int store = kNoStore;
-    if (statement.notBefore <= round.now && !isBlocked_[statement.workload]) {
+    bool maySend = !isHeld_ && statement.notBefore <= round.now;
+    if (maySend && !isBlocked_[statement.workload]) {
       store = selection.route(statement, round.now);
       if (store >= 0 && !retries.mayRetryAt(store, statement, round.now)) store = kNoStore;
       bool isBounded = settings_.workloads[statement.workload].level == Level::bounded;
@@ -138,7 +146,8 @@
     StatementState& statement = statements_[id];
     bool isHopeless = now + startTime(statement.workload) > statement.giveUpAt ||
                       !retries.mayRetry(statement, now);
-    if (isHopeless || !isWorthKeeping(statement, now)) actions.giveUp(statement, round);
+    bool isWanted = isHeld_ || isWorthKeeping(statement, now);
+    if (isHopeless || !isWanted) actions.giveUp(statement, round);
   }
   std::erase_if(waiting_[group], [&](int id) { return !statements_[id].isOpen; });
 }
--- a/src/decision/admission.h
+++ b/src/decision/admission.h
@@ -25,6 +25,10 @@
 
   // Counts a new statement against its tenant's quota.
   void countTenant(StatementState& statement, TimePoint now);
+  // Until release(), dispatch() sends nothing and shed() gives up only what is out of time.
+  void hold() { isHeld_ = true; }
+  // What waits counts as arrived now.
+  void release(TimePoint now);
   void enqueue(const StatementState& statement);
   // The statements of the group that wait, by their ids.
   const std::vector<int>& waiting(int group) const { return waiting_[group]; }
@@ -52,6 +56,7 @@
 
   const EngineSettings& settings_;
   const StoreModules& stores_;
+  bool isHeld_ = false;
   std::vector<StatementState>& statements_;
   std::vector<std::vector<int>> waiting_;  // of each group, without outstanding attempts
   std::vector<TenantUsage> tenants_;
--- a/src/decision/engine.h
+++ b/src/decision/engine.h
@@ -44,6 +44,9 @@
   void onStatementArrived(int id, const Arrival& arrival, TimePoint now);
   void onAttemptEnded(int id, const AttemptResult& result, TimePoint now);
   void onClientClosed(int id);
+  // Until they are released, statements wait and are given up in their time, but none is sent.
+  void holdStatements() { admission_.hold(); }
+  void releaseStatements(TimePoint now) { admission_.release(now); }
 
   // The probe never left this proxy, for want of room here.
   void onProbeNotSent(int store, TimePoint now);
--- a/src/proxy/lifecycle.h
+++ b/src/proxy/lifecycle.h
@@ -4,7 +4,7 @@
 namespace reedchute::proxy {
 
 enum class Lifecycle {
-  starting,      // clients wait until the first endpoint list has come
+  starting,      // statements wait until the first endpoint list has come
   serving,       // all statements are accepted
   draining,      // a signal to end has come; clients that arrive are still served for a while
   shuttingDown,  // no new statements; idle clients are closed, open statements get their answer
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -117,6 +117,7 @@
   signalWatcher_.emplace(scheduler_, shutdownRequested_, reloader_.requested());
   spawnTasks();
   listen();
+  engine_.holdStatements();
   scheduler_.spawn(serveOnceListed());
   scheduler_.run([this] { router_.runRound(); });
   countersLog_.writeFinal();
@@ -146,17 +147,22 @@
   }
 }
 
-// The known list may be old: a statement that is taken before the discovery service was heard could
-// go to a store that has drained since. Clients wait for it, but not for ever, as the service may
-// be away.
+// The known list may be old: a statement that is sent before the discovery service was heard could
+// go to a store that has drained since. Statements wait for it as long as their own time allows,
+// but not for ever, as the service may be away.
 runtime::Task<> Proxy::serveOnceListed() {
+  for (const auto& group : clients_) group->startAccepting();
   Duration timeout = config_.engineSettings.connectTimeout * kFirstListTimeout;
   co_await firstListReceived_.wait(scheduler_.now() + timeout);
-  if (lifecycle_ == Lifecycle::shuttingDown) co_return;
-  for (const auto& group : clients_) group->startAccepting();
+  releaseStatements();
   if (lifecycle_ == Lifecycle::starting) enter(Lifecycle::serving);
 }
 
+void Proxy::releaseStatements() {
+  engine_.releaseStatements(scheduler_.now());
+  rounds_.request();
+}
+
 runtime::Task<> Proxy::shutDownOnSignal() {
   co_await shutdownRequested_.wait();
   TimePoint drainedAt = scheduler_.now() + kDrainTime;
@@ -165,6 +171,7 @@
   for (const auto& protocol : protocols_) protocol->onDraining();
   while (scheduler_.now() < drainedAt) co_await shutdownRequested_.wait(drainedAt);
   enter(Lifecycle::shuttingDown);
+  releaseStatements();
   for (const auto& group : clients_) group->drain();
   for (const auto& group : clients_) co_await group->stopListening();
   // An exit while a response is being written would cut it off.
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -49,6 +49,7 @@
   void listen();
   void onClockStep(Duration ahead);
   runtime::Task<> serveOnceListed();
+  void releaseStatements();
   runtime::Task<> shutDownOnSignal();
   runtime::Task<> logCounters();
 
--- a/tests/proxy/races_test.cpp
+++ b/tests/proxy/races_test.cpp
@@ -522,6 +522,27 @@
   d.exits();
 }
 
+// A process that starts waits for its first list; the time of its clients runs meanwhile.
+void startsUnheard() {
+  constexpr int kDeadlineMs = 300;
+  constexpr int kStillOwedMs = 500;  // after its time an answer earns nothing; later it is lost
+  edits = {{"\"connect_timeout\":250000", "\"connect_timeout\":2000000"}};
+  Drive d(1);
+  d.toy.silenceList(true), d.awaitsList = false;
+  d.killAndStart();
+  int before = d.sent;
+  Client hurried(d, false), patient(d, false);
+  TimePoint asked = d.s.now();
+  hurried.send(pg::startup("web", "orders") + pg::query(Client::read("a", kDeadlineMs)));
+  patient.send(pg::startup("web", "orders") + pg::query(Client::write("b", 9'000, "once")));
+  std::string got = hurried.get(2);
+  bool inTime = d.s.now() - asked <= ms(kDeadlineMs + kStillOwedMs);
+  std::printf("asked for 0.3 s, the list silent: %s, in time %s, %d sent\n", test::outcomeOf(got),
+              yes(inTime), d.sent - before);
+  d.toy.silenceList(false);
+  std::printf("asked for 9 s: %s\n", patient.get(2).c_str());
+}
+
 // Idle clients hold all places while the list's service is away; it and the stores are reached all
 // the same.
 void fullHouse() {
@@ -568,6 +589,7 @@
                        {"lastWord", lastWord},
                        {"readsSlowly", readsSlowly},
                        {"termUnaccepted", termUnaccepted},
+                       {"startsUnheard", startsUnheard},
                        {"roomForOne", roomForOne},
                        {"fullHouse", fullHouse}};
 
