--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -17,6 +17,7 @@
 
 #include "fleet.h"
 #include "oracle.h"
+#include "stall_watch.h"
 #include "troubles.h"
 
 namespace soak {
@@ -72,16 +73,19 @@
   // At times many clients, on few processes.
   if (seed % 12 == 7) f.threadsPerProcess = 40, f.thinkUs = 400'000, f.fronts = 2;
   bool good = true, stepped = false;
+  Stalls stalls;
   {
     Fleet fleet(f);
     if (!fleet.begin()) {
       std::printf("  the fronts did not start\n");
       good = false;
     } else {
+      StallWatch watch;
       Troubles troubles(fleet, seed);
       troubles.run(o.seconds);
       stepped = troubles.steppedClocks();
       if (!fleet.finish()) std::printf("  clients did not end\n"), good = false;
+      stalls = watch.stop();
     }
   }
   OracleOptions judgedBy;
@@ -94,6 +98,8 @@
                     countLines(folder, " responses_missing ", true) +
                     countLines(folder, " task_failed ", true);
   good = good && verdict.violations.empty() && own == 0 && verdict.served > 0;
+  std::printf("  the machine stood still %d times for over 0.1 s, at most %lld ms\n", stalls.count,
+              static_cast<long long>(stalls.longestUs / 1000));
   std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), good ? "kept" : "BROKEN");
   std::fflush(stdout);
   if (!good && !o.keep.empty()) {
