A store that starts again has no known position until it tells one

Cause: Freshness took positions to grow only, across a restart as well. What a replica told before its start was believed until it was older than the bound, and its true position was dropped as older than known. Mostly the empty cold budget kept reads away, which hid it.

Change: a listed start, or a probe answered after the store was out of reach, makes the position unknown and drains the replica; a position that was asked for before the start counts no more.

--- a/src/decision/engine.cpp
+++ b/src/decision/engine.cpp
@@ -91,6 +91,7 @@
   if (hasStarted) {
     stores_.health.onRestarted(store);
     stores_.health.readmit(store);
+    stores_.freshness.onRestarted(store, now);
     stores_.primaries.onRestarted(group, store, now);
   }
   if (endpoint.primary && endpoint.listed == EndpointStatus::up) {
@@ -145,11 +146,11 @@
   stores_.primaries.onObserved(stores_.endpoints.group(store), store, observation, now);
 }
 
-void DecisionEngine::observePosition(int store, TimePoint position, Duration reportAge,
+void DecisionEngine::observePosition(int store, const PositionReport& report, Duration reportAge,
                                      TimePoint now) {
-  stores_.clockSkew.onPosition(now - position);
-  bool fallsBehind = stores_.freshness.onPosition(store, position, reportAge, now);
-  if (fallsBehind) stores_.limits.cut(store, position, CutReason::slow, now);
+  stores_.clockSkew.onPosition(now - report.position);
+  bool fallsBehind = stores_.freshness.onPosition(store, report, reportAge, now);
+  if (fallsBehind) stores_.limits.cut(store, report.position, CutReason::slow, now);
 }
 
 void DecisionEngine::onProbeNotSent(int store, TimePoint now) {
@@ -172,7 +173,10 @@
                               *report.position > stores_.health.ejectedAt(store);
   bool keptRole = wasPrimaryThroughout && stores_.endpoints.groupSize(group) > 1;
   stores_.health.onProbeAnswered(store, stores_.endpoints.zone(store), keptRole, now);
-  if (stores_.health.wasUnreachable(store)) stores_.primaries.onRestarted(group, store, now);
+  if (stores_.health.wasUnreachable(store)) {
+    stores_.primaries.onRestarted(group, store, now);
+    stores_.freshness.onRestarted(store, probes_.sentAt(store));
+  }
   if (stores_.health.hasRefusedConnection(store)) onStoreResponsive(store, now);
   learnFromReport(store, report, now);
 }
@@ -181,7 +185,7 @@
   if (!report.position) return;
   TimePoint position = *report.position;
   probes_.onReport(store, position, now);
-  observePosition(store, position, probes_.reportAge(), now);
+  observePosition(store, {position, probes_.sentAt(store)}, probes_.reportAge(), now);
   if (!report.primary) return;
   Role role = *report.primary ? Role::primary : Role::replica;
   observeRole(store, {role, position, RoleSource::report}, now);
@@ -229,7 +233,8 @@
   learnFromResponse(statement, attempt, result, now);
   learnFromAttempt(statement, attempt, result, now);
   if (result.report.position)
-    observePosition(attempt.store, *result.report.position, probes_.reportAge(), now);
+    observePosition(attempt.store, {*result.report.position, attempt.sent}, probes_.reportAge(),
+                    now);
   continueStatement(statement, result, now);
 }
 
@@ -246,7 +251,7 @@
   TimePoint position = *result.position;
   stores_.clockSkew.onPosition(now - position);
   if (result.role != Role::replica) return;
-  observePosition(store, position, Duration{}, now);
+  observePosition(store, {position, attempt.sent}, Duration{}, now);
   probes_.deferByLag(store, now - position, Duration{}, now);
 }
 
--- a/src/decision/engine.h
+++ b/src/decision/engine.h
@@ -71,7 +71,7 @@
   void onStoreStarted(int store, TimePoint now);
   void onStoreResponsive(int store, TimePoint now);
   void observeRole(int store, const RoleObservation& observation, TimePoint now);
-  void observePosition(int store, TimePoint position, Duration reportAge, TimePoint now);
+  void observePosition(int store, const PositionReport& report, Duration reportAge, TimePoint now);
   void learnFromAttempt(const StatementState& statement, const Attempt& attempt,
                         const AttemptResult& result, TimePoint now);
   void learnFromResponse(const StatementState& statement, const Attempt& attempt,
--- a/src/decision/freshness.cpp
+++ b/src/decision/freshness.cpp
@@ -21,14 +21,23 @@
 void Freshness::reset(int store) {
   std::size_t workloads = settings_.workloads.size();
   assignAt(position_, store, kNever);
+  assignAt(restartedAt_, store, kNever);
   assignAt(drained_, store, std::vector<char>(workloads, 1));
   assignAt(returnedAt_, store, std::vector<TimePoint>(workloads, kNever));
 }
 
+void Freshness::onRestarted(int store, TimePoint now) {
+  position_[store] = kNever;
+  restartedAt_[store] = now;
+  std::fill(drained_[store].begin(), drained_[store].end(), char{1});
+}
+
 // Reads compete with the thread that applies the log; where the replica lags, fewer of them let it
 // catch up.
-bool Freshness::onPosition(int store, TimePoint position, Duration reportAge, TimePoint now) {
-  if (position < position_[store]) return false;
+bool Freshness::onPosition(int store, const PositionReport& report, Duration reportAge,
+                           TimePoint now) {
+  TimePoint position = report.position;
+  if (report.askedAt < restartedAt_[store] || position < position_[store]) return false;
   position_[store] = position;
   Duration lag = now - position;
   bool fallsBehind = false;
--- a/src/decision/freshness.h
+++ b/src/decision/freshness.h
@@ -14,16 +14,25 @@
 
 namespace reedchute {
 
+// A position as a store has told it, and when the store was asked.
+struct PositionReport {
+  TimePoint position;
+  TimePoint askedAt;
+};
+
 class Freshness {
  public:
   Freshness(const EngineSettings& settings, Duration smallestBound);
 
   void reset(int store);
+  // The store has started again, perhaps with older data: no position is known until it is told
+  // by the process that runs now.
+  void onRestarted(int store, TimePoint now);
 
-  // Learns a position; an older one than is known changes nothing. `reportAge` is how old the
-  // position may be merely by the way it came. True where the replica falls behind so far that it
-  // should be sent less.
-  bool onPosition(int store, TimePoint position, Duration reportAge, TimePoint now);
+  // Learns a position; an older one than is known changes nothing, nor does one that was asked for
+  // before the store started again. `reportAge` is how old the position may be merely by the way it
+  // came. True where the replica falls behind so far that it should be sent less.
+  bool onPosition(int store, const PositionReport& report, Duration reportAge, TimePoint now);
   TimePoint position(int store) const { return position_[store]; }
   bool hasPosition(int store) const { return position_[store] > kNever; }
   bool isDrained(int store, int workload) const { return drained_[store][workload]; }
@@ -52,6 +61,7 @@
   const EngineSettings& settings_;
   const Duration returnBelow_;  // the lag at which a replica returns for the smallest bound
   std::vector<TimePoint> position_;
+  std::vector<TimePoint> restartedAt_;
   std::vector<std::vector<char>> drained_;          // a flag a workload
   std::vector<std::vector<TimePoint>> returnedAt_;  // a time a workload
   std::unordered_map<std::uint64_t, TimePoint> lastCommits_;
--- a/src/decision/probe_scheduler.cpp
+++ b/src/decision/probe_scheduler.cpp
@@ -41,7 +41,7 @@
 
 void ProbeScheduler::reset(int store) {
   assignAt(isProbing_, store, char{0});
-  for (auto* times : {&dueAt_, &answeredAt_, &reportPosition_, &renewalAt_})
+  for (auto* times : {&sentAt_, &dueAt_, &answeredAt_, &reportPosition_, &renewalAt_})
     assignAt(*times, store, kNever);
 }
 
@@ -237,6 +237,7 @@
 
 void ProbeScheduler::probe(int store, const Round& round) {
   isProbing_[store] = 1;
+  sentAt_[store] = round.now;
   round.sink.probe(store);
 }
 
--- a/src/decision/probe_scheduler.h
+++ b/src/decision/probe_scheduler.h
@@ -26,6 +26,8 @@
   void ensureGroup(int group);
 
   bool isProbing(int store) const { return isProbing_[store]; }
+  // When the store was last probed.
+  TimePoint sentAt(int store) const { return sentAt_[store]; }
   bool isDue(int store, TimePoint now) const { return dueAt_[store] <= now; }
   // How old the position in a report may be merely because reports are renewed now and then.
   Duration reportAge() const { return refreshPeriod_ + youngestReport_; }
@@ -81,6 +83,7 @@
   const Duration smallestBound_;
   const double earnedPerRead_;
   std::vector<char> isProbing_;
+  std::vector<TimePoint> sentAt_;
   std::vector<TimePoint> dueAt_;
   std::vector<TimePoint> answeredAt_;       // when a probe was last answered
   std::vector<TimePoint> reportPosition_;   // of the newest report
--- a/tests/decision/engine_scenarios_test.cpp
+++ b/tests/decision/engine_scenarios_test.cpp
@@ -1101,6 +1101,34 @@
               reads > 0 ? "yes" : "no");
 }
 
+// A replica that was fresh starts again with old data: what it told before counts no more, and no
+// bounded read goes to it until it has told anew that it is fresh.
+void startsAgainOld() {
+  Bench b(Bench::terms({kBounded, kWrite}), 3);
+  auto readsAt = [&](int store) {
+    int reads = 0;
+    for (int k = 0; k < 30; ++k) {
+      b.ask(0, 2000, 20);
+      reads += b.last == store;
+      if (b.last >= 0)
+        b.answer(b.lastStmt, AttemptOutcome::ok, Role::unknown, b.lastExecution, -1, 10);
+      b.pass(2);
+    }
+    return reads;
+  };
+  b.report(1, 10);
+  b.report(2, 10);
+  b.listOne(2, false, EndpointStatus::gone);
+  std::printf("fresh, a replica gets bounded reads: %s\n", readsAt(1) > 0 ? "yes" : "no");
+  b.report(1, 10);
+  b.listOne(1, false, EndpointStatus::up, b.clock - ms(600'000));  // warm by now
+  std::printf("started again: %d of 30\n", readsAt(1));
+  b.report(1, 60'000);
+  std::printf("a minute behind: %d of 30\n", readsAt(1));
+  b.report(1, 10);
+  std::printf("fresh again, it gets some: %s\n", readsAt(1) > 0 ? "yes" : "no");
+}
+
 // A report names the primary between the send of a write and its answer as primary: that answer
 // still makes it sure, and bounded reads that find no fresh replica go there.
 void reportCrosses() {
@@ -1223,6 +1251,7 @@
     {"othersKeep", othersKeep},
     {"unasked", unasked},
     {"primaryReturns", primaryReturns},
+    {"startsAgainOld", startsAgainOld},
     {"reportCrosses", reportCrosses},
     {"lateWait", lateWait},
     {"oneEnd", oneEnd},
