Test clockSameStart: a start told again after a clock step is the same start

The new case sets the clock back, has the list tell the replica again and expects a bounded read there.

No product code changed.

--- a/tests/proxy/clock_steps_test.cpp
+++ b/tests/proxy/clock_steps_test.cpp
@@ -145,6 +145,32 @@
   s.stepIsLogged();
 }
 
+// A start that the list tells again after the clock was set back is the same start: what is known
+// of the replica's data stays.
+void clockSameStart() {
+  edits = {{"\"ramp_time\":16000000", "\"ramp_time\":1000000"}};
+  Stage s;
+  s.d.toy.kill(1), s.d.toy.revive(1);
+  s.d.until("its start is told", [&] { return s.d.logged(" primary=0 started_ms=1"); });
+  s.d.pass(1'100);  // it is warm
+  int had = s.d.toy.executions(1);
+  s.d.until("the replica is found fresh", [&] {
+    s.c.ask(Client::read("b", 3000, "near"));
+    return s.d.toy.executions(1) > had;
+  });
+  s.clock.set(s.d, Duration{} - kMinute);
+  s.stepIsLogged();
+  s.d.toy.setState(1, "draining");
+  s.d.until("the list is told", [&] { return s.d.logged("state=draining"); });
+  std::size_t told = s.d.log.size();
+  s.d.toy.setState(1, "up");
+  s.d.until("the list is told again", [&] {
+    s.d.logged("");
+    return s.d.log.find("id=toy-1 group=7 state=up", told) != std::string::npos;
+  });
+  s.asks("a bounded read", Client::read("b", 3000, "near"));
+}
+
 // Reads of eight clients at a primary and two replicas, the second of which starts again.
 struct ColdStage {
   explicit ColdStage(Duration ahead) : clock(ahead) { connect(); }
@@ -195,7 +221,8 @@
 
 const Case kCases[] = {{"clockAhead", clockAhead},         {"clockBack", clockBack},
                        {"clockStale", clockStale},         {"clockSessions", clockSessions},
-                       {"clockColdAhead", clockColdAhead}, {"waitRefused", waitRefused}};
+                       {"clockSameStart", clockSameStart}, {"clockColdAhead", clockColdAhead},
+                       {"waitRefused", waitRefused}};
 
 }  // namespace
 
