Client: report connections that the proxy closes with a whole request undecoded

Change: before a connection is closed of the proxy's own accord (drain, idle, eviction), the codec is asked whether a whole message is left; if so it is reported as a violation of "answer", with the bytes in the session's buffer and those in the codec. A run-time check only: it changes nothing that is done.

--- a/src/client/client_protocol.h
+++ b/src/client/client_protocol.h
@@ -48,6 +48,10 @@
   // channel closed. `arrivals`: the arrival times of `bytes`.
   virtual bool decodeMessage(std::string_view bytes, const ArrivalTimes& arrivals,
                              std::size_t& used) = 0;
+  // Whether a whole message is left, in the codec or at the beginning of `bytes`.
+  virtual bool hasWholeMessage(std::string_view bytes) const = 0;
+  // Bytes consumed by decodeMessage() of messages that are not decoded yet.
+  virtual std::size_t undecodedBytes() const { return 0; }
   virtual bool hasCompletedStartup() const = 0;
   // Number of statements whose response is pending.
   virtual std::size_t pendingResponses() const = 0;
--- a/src/client/session_loop.cpp
+++ b/src/client/session_loop.cpp
@@ -23,6 +23,7 @@
 
 runtime::Task<> SessionLoop::run() {
   co_await serveRequests();
+  checkAllDecoded();
   if (!session_.isEnding || !session_.socket.isOpen()) co_return;
   if (session_.closeReason == CloseReason::finalMessage && !session_.leavesInputUnread)
     co_await closeAfterFinalMessage();
@@ -30,6 +31,19 @@
     co_await closeLeavingInputUnread();
 }
 
+// A request that was read completely gets a response, so the proxy must have decoded all of them
+// before it closes a connection of its own accord.
+void SessionLoop::checkAllDecoded() const {
+  CloseReason reason = session_.closeReason;
+  bool isOwnAccord = reason == CloseReason::draining || reason == CloseReason::idle ||
+                     reason == CloseReason::evicted;
+  bool isByClient = session_.hasClientEnded || session_.socket.hasPeerClosed();
+  if (!isOwnAccord || isByClient || !session_.codec->hasWholeMessage(session_.unread())) return;
+  invariants::reportViolation(invariants::Rule::everyResponseSent,
+                              "end=%s unread=%zu undecoded=%zu", nameOf(reason),
+                              session_.unread().size(), session_.codec->undecodedBytes());
+}
+
 // Requests that a client had sent ahead before it disconnected are not served any more.
 bool SessionLoop::isServing() const {
   return !session_.isEnding && session_.socket.isOpen() && !session_.socket.hasPeerClosed();
--- a/src/client/session_loop.h
+++ b/src/client/session_loop.h
@@ -31,6 +31,7 @@
   std::size_t maxReadAheadBytes() const;
   TimePoint messageDeadline() const;
   void disconnectSlowClient();
+  void checkAllDecoded() const;
   TimePoint lingerDeadline(TimePoint lingerStart) const;
   runtime::Task<> closeAfterFinalMessage();
   runtime::Task<> closeLeavingInputUnread();
--- a/src/codec/cql/framing.cpp
+++ b/src/codec/cql/framing.cpp
@@ -195,6 +195,13 @@
   }
 }
 
+bool Framing::hasFrame(std::string_view bytes) const {
+  Framing copy = *this;
+  Frame frame;
+  std::size_t used = 0;
+  return copy.next(bytes, used, frame) == Framed::whole;
+}
+
 Framed Framing::nextBuffered(Frame& result) {
   std::string_view rest = std::string_view(buffer_).substr(consumed_);
   if (rest.empty()) {
--- a/src/codec/cql/framing.h
+++ b/src/codec/cql/framing.h
@@ -40,6 +40,10 @@
   // or a block that doesn't decompress to its stated size. The connection can't be read any further
   // after `bad`, and `why` returns the reason.
   Framed next(std::string_view bytes, std::size_t& used, Frame& result);
+  // Whether next() would return a whole frame.
+  bool hasFrame(std::string_view bytes) const;
+  // The bytes of consumed segments that next() has not returned as frames yet.
+  std::size_t undecodedBytes() const { return usesSegments_ ? buffer_.size() - consumed_ : 0; }
   // The reason for the last `bad`, a static string; empty before the first.
   const char* why() const { return why_; }
   // The size in bytes of the buffer that is kept between calls.
--- a/src/protocols/cassandra/client_session.h
+++ b/src/protocols/cassandra/client_session.h
@@ -23,6 +23,8 @@
   Session& operator=(const Session&) = delete;
 
   // ClientCodec
+  bool hasWholeMessage(std::string_view bytes) const override { return framing_.hasFrame(bytes); }
+  std::size_t undecodedBytes() const override { return framing_.undecodedBytes(); }
   bool hasCompletedStartup() const override { return state_ == State::ready; }
   std::size_t pendingResponses() const override { return pending_.count(); }
   bool isPaused() const override { return pending_.count() >= protocol_.config().streams; }
--- a/src/protocols/postgres/client_codec.cpp
+++ b/src/protocols/postgres/client_codec.cpp
@@ -41,6 +41,7 @@
                      std::size_t& used) override {
     return hasCompletedStartup_ ? decodeRequest(bytes, arrivals, used) : decodeStartup(bytes, used);
   }
+  bool hasWholeMessage(std::string_view bytes) const override;
   bool hasCompletedStartup() const override { return hasCompletedStartup_; }
   std::size_t pendingResponses() const override { return replies_.size(); }
   bool isPaused() const override;
@@ -90,6 +91,16 @@
   bool hasCompletedStartup_ = false;
 };
 
+bool Session::hasWholeMessage(std::string_view bytes) const {
+  if (hasCompletedStartup_) {
+    pg::Message message;
+    return pg::frame(bytes, kMaxMessageBytes, message) == pg::Framed::whole;
+  }
+  std::int32_t code = 0;
+  std::size_t used = 0;
+  return pg::frameStartup(bytes, kMaxStartupBytes, code, used) == pg::Framed::whole;
+}
+
 bool Session::isPaused() const {
   if (replies_.empty()) return false;
   if (replies_.isBlocked() || replies_.endsConnection()) return true;
--- a/tests/client/client_connections_test.cpp
+++ b/tests/client/client_connections_test.cpp
@@ -1,12 +1,14 @@
-// A codec that throws while its session is running. The session's statements must still be
-// withdrawn and its connection closed. Uses real sockets with a protocol made for the test.
+// The sessions of clients, with real sockets and protocols made for the test: a codec that throws,
+// and codecs that close their connection too early.
 #include "client/client_connections.h"
 
 #include <csignal>
 #include <cstdio>
 #include <memory>
 #include <stdexcept>
+#include <string>
 
+#include "invariants/violations.h"
 #include "trace.h"
 
 using namespace reedchute;
@@ -27,11 +29,14 @@
   return condition();
 }
 
+// The codec throws while its session is running. The session's statements must still be withdrawn
+// and its connection closed.
 struct ThrowingCodec : client::ClientCodec {
   bool decodeMessage(std::string_view bytes, const client::ArrivalTimes&, std::size_t&) override {
     if (bytes.empty()) return false;
     throw std::runtime_error("thrown by decodeMessage");
   }
+  bool hasWholeMessage(std::string_view bytes) const override { return !bytes.empty(); }
   bool hasCompletedStartup() const override { return true; }
   std::size_t pendingResponses() const override { return 1; }
   bool isPaused() const override { return false; }
@@ -46,13 +51,53 @@
   std::size_t maxMessageBytes() const override { return 100; }
 };
 
+// Each byte is a message; 'e' closes the connection, whatever else was read. With `takesAll`, the
+// codec takes all bytes out of the session's buffer at once and decodes them one by one.
+class HastyCodec : public client::ClientCodec {
+ public:
+  HastyCodec(client::ClientChannel& channel, bool takesAll)
+      : channel_(channel), takesAll_(takesAll) {}
+  bool decodeMessage(std::string_view bytes, const client::ArrivalTimes&,
+                     std::size_t& used) override {
+    if (taken_.empty())
+      taken_ = bytes.substr(0, takesAll_ ? bytes.size() : 1), used = taken_.size();
+    if (taken_.empty()) return false;
+    if (taken_[0] == 'e') channel_.closeForDrain();
+    taken_.erase(0, 1);
+    return true;
+  }
+  bool hasWholeMessage(std::string_view bytes) const override {
+    return !taken_.empty() || !bytes.empty();
+  }
+  std::size_t undecodedBytes() const override { return taken_.size(); }
+  bool hasCompletedStartup() const override { return true; }
+  std::size_t pendingResponses() const override { return 0; }
+  bool isPaused() const override { return false; }
+  void disconnect(client::DisconnectReason) override {}
+  void onClientClosed() override {}
+
+ private:
+  client::ClientChannel& channel_;
+  const bool takesAll_;
+  std::string taken_;
+};
+
+struct HastyProtocol : client::ClientProtocol {
+  explicit HastyProtocol(bool takesAll_) : takesAll(takesAll_) {}
+  std::unique_ptr<client::ClientCodec> newCodec(client::ClientChannel& channel) override {
+    return std::make_unique<HastyCodec>(channel, takesAll);
+  }
+  std::size_t maxMessageBytes() const override { return 100; }
+  const bool takesAll;
+};
+
+const client::ClientLimits kLimits{8, ms(1000), ms(1000), ms(1000), ms(1000), ms(1000), 8, 1 << 20};
+
 void clientFaults() {
   runtime::Scheduler scheduler;
   ThrowingProtocol protocol;
   request::RequestCounters counters;
-  client::ClientConnections clients(
-      scheduler, protocol, counters,
-      {8, ms(1000), ms(1000), ms(1000), ms(1000), ms(1000), 8, 1 << 20});
+  client::ClientConnections clients(scheduler, protocol, counters, kLimits);
   int port = clients.listen(loopbackAddress(0));
   clients.startAccepting();
   runtime::Socket socket(scheduler, runtime::startConnect(loopbackAddress(port)));
@@ -66,7 +111,34 @@
               isSessionOver ? "yes" : "no", hasClientSeenEnd ? "yes" : "no");
 }
 
-const Case kCases[] = {{"clientFaults", clientFaults}};
+// Guards against requests that are read and never answered without anything telling it: a
+// connection that the proxy closes with a whole message left is reported, wherever the message is.
+void clientUndecoded() {
+  for (bool takesAll : {false, true})
+    for (const char* bytes : {"ae", "aeb"}) {
+      runtime::Scheduler scheduler;
+      HastyProtocol protocol(takesAll);
+      request::RequestCounters counters;
+      client::ClientConnections clients(scheduler, protocol, counters, kLimits);
+      int port = clients.listen(loopbackAddress(0));
+      clients.startAccepting();
+      std::uint64_t before = invariants::violationCount(invariants::Rule::everyResponseSent);
+      runtime::Socket socket(scheduler, runtime::startConnect(loopbackAddress(port)));
+      runUntil(scheduler, [&] { return clients.sessionCount() == 1; });
+      socket.write(bytes);
+      std::string input;
+      runUntil(scheduler,
+               [&] { return socket.read(input, 10) == runtime::Socket::ReadStatus::closed; });
+      socket.close();
+      bool isOver = runUntil(scheduler, [&] { return clients.sessionCount() == 0; });
+      std::uint64_t after = invariants::violationCount(invariants::Rule::everyResponseSent);
+      std::printf("'%s', %s: over %s, reported %d\n", bytes,
+                  takesAll ? "taken at once" : "taken one by one", isOver ? "yes" : "no",
+                  static_cast<int>(after - before));
+    }
+}
+
+const Case kCases[] = {{"clientFaults", clientFaults}, {"clientUndecoded", clientUndecoded}};
 
 }  // namespace
 
