Cassandra: a frame with others behind it in its segment isn't the last one received

Version 4 loses none.

Cause: while the proxy drains, a request that is the last one received is refused with IsBootstrapping and its connection closed. "Last" was told from the bytes of the socket alone (used == bytes.size()). A segment is taken out of those bytes as a whole; the frames behind the first one wait in Framing, and were dropped with the connection.

Evidence: with the check of the commit before, each of the eight connections logs "end=leaving unread=0 undecoded=252": two frames in the codec, nothing in the session's buffer; taken=2316 answered=2316, so they were never admitted.

Fix: a frame is the last one only if Framing holds nothing either. The requests behind it are then decoded and refused like those of version 4, and the last of them closes the connection.

--- a/src/protocols/cassandra/client_session.cpp
+++ b/src/protocols/cassandra/client_session.cpp
@@ -44,7 +44,7 @@
   if (state_ == State::awaitingStartup && !acceptsVersionOf(bytes)) return true;
   Frame frame;
   Framed result = framing_.next(bytes, used, frame);
-  isLastReceived_ = used == bytes.size();
+  isLastReceived_ = used == bytes.size() && framing_.undecodedBytes() == 0;
   // If no bytes were consumed, the frame was contained in a segment that arrived earlier.
   if (used > 0) arrivedAt_ = arrivals.arrivalOf(used);
   if (result == Framed::partial) return false;
--- a/src/protocols/cassandra/client_session.h
+++ b/src/protocols/cassandra/client_session.h
@@ -76,8 +76,9 @@
   State state_ = State::awaitingStartup;
   int version_ = cql::kLowestVersion;
   std::string keyspace_;
-  TimePoint arrivedAt_;          // when the last byte of the last decoded frame arrived
-  bool isLastReceived_ = false;  // no bytes were received after the last decoded frame
+  TimePoint arrivedAt_;  // when the last byte of the last decoded frame arrived
+  // No bytes were received after the last decoded frame, in the same segment or behind it.
+  bool isLastReceived_ = false;
   PendingRequests pending_;
 };
 
--- a/tests/codec/cql_test.cpp
+++ b/tests/codec/cql_test.cpp
@@ -8,12 +8,14 @@
 #include "codec/cql/reply.h"
 #include "codec/cql/request.h"
 #include "codec/cql/text.h"
+#include "cql_segments.h"
 #include "trace.h"
 
 using namespace reedchute::cql;
 using reedchute::test::Case;
 using reedchute::test::made;
 using reedchute::test::runCase;
+using reedchute::test::segment;
 
 namespace {
 
@@ -177,18 +179,6 @@
   one("an empty body, compressed", framingOf(false, true),
       encodeFrame(false, 4, kCompressed, 1, Opcode::options, emptyBody));
   // Segments with correct checksums and invalid contents.
-  auto segment = [](std::string_view payload, bool self) {
-    std::string s, header;
-    std::uint32_t bits = static_cast<std::uint32_t>(payload.size()) |
-                         static_cast<std::uint32_t>(self) << 17;
-    for (int k = 0; k < 3; ++k) header.push_back(static_cast<char>(bits >> 8 * k & 0xff));
-    std::uint32_t crc = crc24(header);
-    for (int k = 0; k < 3; ++k) header.push_back(static_cast<char>(crc >> 8 * k & 0xff));
-    s = header + std::string(payload);
-    crc = crc32(payload);
-    for (int k = 0; k < 4; ++k) s.push_back(static_cast<char>(crc >> 8 * k & 0xff));
-    return s;
-  };
   std::string f = encodeFrame(false, 5, 0, 1, Opcode::query, queryBody("SELECT 1", 5));
   one("two frames in one segment", framingOf(true, false), segment(f + f, true));
   one("a part of a frame in a segment of its own", framingOf(true, false),
--- a/tests/support/cql_client.h
+++ b/tests/support/cql_client.h
@@ -134,11 +134,20 @@
     if (!x.page.empty()) cql::addBytes(p, x.page);
     return p;
   }
-  // query, execute and batch send a statement without waiting, and return its stream.
-  int query(const std::string& text, const Extra& x, int stream = 1) {
+  std::string queryBody(const std::string& text, const Extra& x) {
     std::string body = x.payload ? payload(x) : std::string();
     cql::addLongString(body, text);
-    send(stream, cql::Opcode::query, body + parameters(x, {}), x.payload ? cql::kPayload : 0);
+    return body + parameters(x, {});
+  }
+  // The bare frame of query(), for a segment that the test builds.
+  std::string queryFrame(const std::string& text, const Extra& x, int stream = 1) {
+    return cql::encodeFrame(false, version, x.payload ? cql::kPayload : 0,
+                            static_cast<std::int16_t>(stream), cql::Opcode::query,
+                            queryBody(text, x));
+  }
+  // query, execute and batch send a statement without waiting, and return its stream.
+  int query(const std::string& text, const Extra& x, int stream = 1) {
+    send(stream, cql::Opcode::query, queryBody(text, x), x.payload ? cql::kPayload : 0);
     return stream;
   }
   std::string ask(const std::string& text, const Extra& x) { return answer(query(text, x)); }
