Client: a message that the codec has begun to take isn't an idle connection

Cause: SessionLoop and isAwaitingRequest told "no message has begun" from unread().empty(), the bytes of the socket. The first segment is in the codec.

Fix: Session::undecodedBytes() counts both, and the message timeout, the drain, the wait for the next request and the batching of responses use it. The PostgreSQL codec takes messages whole and holds nothing.

--- a/src/client/session.cpp
+++ b/src/client/session.cpp
@@ -94,7 +94,7 @@
 }
 
 bool Session::isAwaitingRequest() const {
-  return codec->hasCompletedStartup() && unread().empty() && codec->pendingResponses() == 0;
+  return codec->hasCompletedStartup() && undecodedBytes() == 0 && codec->pendingResponses() == 0;
 }
 
 std::size_t Session::unsentResponses() const {
--- a/src/client/session.h
+++ b/src/client/session.h
@@ -47,6 +47,8 @@
   // Input that was read and is not decoded yet.
   std::string_view unread() const { return std::string_view(input_).substr(consumed_); }
   std::size_t inputBytes() const { return input_.size(); }
+  // Input that was read of messages that are not decoded yet, whether or not the codec has it.
+  std::size_t undecodedBytes() const { return unread().size() + codec->undecodedBytes(); }
   const ArrivalTimes& arrivals() const { return arrivals_; }
   // Removes the first `count` bytes of unread().
   void consume(std::size_t count);
--- a/src/client/session_loop.cpp
+++ b/src/client/session_loop.cpp
@@ -86,7 +86,7 @@
 // Responses that are ready immediately are written together if the client sent its requests
 // together.
 bool SessionLoop::shouldBatchResponses() const {
-  return session_.codec->pendingResponses() > 0 && !session_.unread().empty() &&
+  return session_.codec->pendingResponses() > 0 && session_.undecodedBytes() > 0 &&
          session_.queued.bytes.size() < kReadAheadBytes;
 }
 
@@ -144,7 +144,7 @@
   // Closing the connection would lose the pending responses, so while there are any it is closed
   // neither to make room nor because of a slow message.
   if (session_.codec->pendingResponses() > 0) {
-    if (session_.unread().empty())
+    if (session_.undecodedBytes() == 0)
       session_.messageBegunAt = kNever;
     else if (session_.messageBegunAt == kNever)
       session_.messageBegunAt = context_.scheduler.now();
@@ -172,7 +172,7 @@
 void SessionLoop::disconnectSlowClient() {
   bool hasStarted = session_.codec->hasCompletedStartup();
   if (context_.registry.isDraining()) {
-    if (session_.unread().empty()) return session_.finish(CloseReason::draining);
+    if (session_.undecodedBytes() == 0) return session_.finish(CloseReason::draining);
     return session_.codec->disconnect(DisconnectReason::draining);
   }
   log::line("client_timeout", "what=%s", hasStarted ? "message" : "startup");
--- a/tests/protocols/cassandra_segments_test.cpp
+++ b/tests/protocols/cassandra_segments_test.cpp
@@ -84,7 +84,86 @@
               [&](auto& c) { return segment(write(c, 1) + options(5, 2) + read(c, 3), true); });
 }
 
-constexpr Case kCases[] = {{"segmentsAtDrain", segmentsAtDrain}};
+// The beginning of a read's frame, in whole segments if the version has them, and the rest.
+struct SplitRead {
+  SplitRead(CqlClient& client, const char* key, int stream) {
+    std::string frame = client.queryFrame(selectOf(key), {}, stream);
+    std::string_view whole = frame;
+    std::size_t half = frame.size() / 2;
+    bool hasSegments = client.version >= 5;
+    begin = hasSegments ? segment(whole.substr(0, half), false) : frame.substr(0, half);
+    rest = hasSegments ? segment(whole.substr(half), false) : frame.substr(half);
+  }
+  std::string begin, rest;
+};
+
+// Guards against a client in the middle of a message that is closed without a word at a shutdown,
+// as if it were idle, because the beginning of its message is in the codec.
+void segmentsHalfAtDrain() {
+  for (int version : {4, 5}) {
+    CassandraProxy proxy(1);
+    CqlClient client(proxy, version);
+    client.ask(selectOf("a"), {});
+    client.raw(SplitRead(client, "b", 1).begin);
+    proxy.signal(SIGTERM);
+    std::string response = responsesUntilEnd(client, 1);
+    bool hasError = client.answers.contains(0);
+    std::printf("version %d, half a message: %s, on stream 0: %s\n", version, response.c_str(),
+                hasError ? client.describe(client.take(0)).c_str() : "nothing");
+    proxy.printExitCode();
+  }
+}
+
+// Guards against clients that stop in the middle of a message and are never told, nor closed,
+// because the beginning of the message is in the codec: alone, and behind a pending response.
+void segmentsStopped() {
+  constexpr int kToldWithinMs = 3'000;
+  for (int version : {4, 5})
+    for (bool isBehindAnother : {false, true}) {
+      CassandraProxy proxy(1);
+      CqlClient client(proxy, version);
+      client.ask(selectOf("a"), {});
+      if (isBehindAnother) client.query(selectOf("slow2000"), {.waitMs = 5000}, 2);
+      client.raw(SplitRead(client, "b", 1).begin);
+      std::printf("version %d, half a message%s: ", version,
+                  isBehindAnother ? " behind a read" : "");
+      if (isBehindAnother)
+        std::printf("%s; ", client.answer(2).starts_with("row") ? "the row" : "no row");
+      TimePoint end = proxy.s.now() + test::ms(kToldWithinMs);
+      while (!client.ended && proxy.s.now() < end) proxy.pass(5), client.read();
+      bool hasError = client.answers.contains(0);
+      std::printf("%s, closed %s\n", hasError ? client.describe(client.take(0)).c_str() : "nothing",
+                  test::yes(client.ended));
+    }
+}
+
+// Guards against a client that is closed in the middle of a message to make room for idle ones:
+// it isn't idle, though the beginning of the message is in the codec.
+void segmentsNotIdle() {
+  // A message may take six connect timeouts, which is more than this test takes.
+  test::edits = {{"\"connect_timeout\":250000", "\"connect_timeout\":2000000"}};
+  constexpr int kOthers = 20;  // twice as many as may be idle
+  for (int version : {4, 5}) {
+    CassandraProxy proxy(1);
+    CqlClient client(proxy, version);
+    client.ask(selectOf("a"), {});
+    std::vector<std::unique_ptr<CqlClient>> others;
+    for (int k = 0; k < kOthers; ++k) others.push_back(std::make_unique<CqlClient>(proxy));
+    SplitRead read(client, "b", 1);
+    client.raw(read.begin);
+    for (auto& other : others) other->ask(selectOf("c"), {});
+    int closed = 0;
+    for (auto& other : others) other->read(), closed += other->ended;
+    client.raw(read.rest);
+    std::printf("version %d, a message with a pause: %s; idle ones closed: %s\n", version,
+                client.answer(1).c_str(), test::yes(closed > 0));
+  }
+}
+
+constexpr Case kCases[] = {{"segmentsAtDrain", segmentsAtDrain},
+                           {"segmentsHalfAtDrain", segmentsHalfAtDrain},
+                           {"segmentsStopped", segmentsStopped},
+                           {"segmentsNotIdle", segmentsNotIdle}};
 
 }  // namespace
 
