Client: input that the codec has taken counts as memory of the clients

What callers saw: 90 clients that each send 200 KB of a 250 KB message of version 5, in segments, hold 18 MB where a quarter of 32 MB is allowed, and none is told. In version 4 they are told (ERROR 1001) and closed.

Cause: Session::bufferBytes and the check behind each read counted the buffer of the socket; a segment leaves it for Framing's buffer at once.

Fix: the codec's input buffer counts. Framing frees a large buffer once its contents are used up, also where it held a decompressed body (that one was kept for as long as the connection), so that idle connections don't count with what they once needed. addSegments() is public for tests.

--- a/src/client/client_protocol.h
+++ b/src/client/client_protocol.h
@@ -52,6 +52,8 @@
   virtual bool hasWholeMessage(std::string_view bytes) const = 0;
   // Bytes consumed by decodeMessage() of messages that are not decoded yet.
   virtual std::size_t undecodedBytes() const { return 0; }
+  // Memory of the buffers for input that the codec has consumed, in bytes.
+  virtual std::size_t inputBufferBytes() const { return 0; }
   virtual bool hasCompletedStartup() const = 0;
   // Number of statements whose response is pending.
   virtual std::size_t pendingResponses() const = 0;
--- a/src/client/session.cpp
+++ b/src/client/session.cpp
@@ -103,7 +103,8 @@
 }
 
 std::size_t Session::bufferBytes() const {
-  return input_.capacity() + queued.bytes.capacity() + sending.bytes.capacity();
+  return input_.capacity() + codec->inputBufferBytes() + queued.bytes.capacity() +
+         sending.bytes.capacity();
 }
 
 }  // namespace reedchute::client
--- a/src/client/session_loop.cpp
+++ b/src/client/session_loop.cpp
@@ -102,7 +102,8 @@
     session_.idleSince = kNever;
     // Hundreds of clients that each send most of a long message would together use up the memory.
     std::size_t allBytes = context_.registry.bufferBytes();
-    if (session_.inputBytes() > kReadAheadBytes && allBytes > context_.limits.maxBufferBytes) {
+    bool isLong = session_.undecodedBytes() > kReadAheadBytes;
+    if (isLong && allBytes > context_.limits.maxBufferBytes) {
       log::line("client_memory_limit", "bytes=%zu", allBytes);
       session_.codec->disconnect(DisconnectReason::memoryLimit);
     }
--- a/src/codec/cql/framing.cpp
+++ b/src/codec/cql/framing.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kCompressedHeaderFieldsSize = 5;  // bytes before the CRC-24, LZ4 format
 // Bodies of bare frames up to this size, in bytes, are not compressed.
 constexpr std::size_t kMaxUncompressedBody = 64;
+constexpr std::size_t kMaxIdleBuffer = 16 * 1024;  // bytes, between two messages
 constexpr std::uint32_t kCrc24Initial = 0x875060;
 constexpr std::uint32_t kCrc24Polynomial = 0x1974f0b;
 constexpr std::uint32_t kCrc24Overflow = 0x1000000;
@@ -127,6 +128,20 @@
   return static_cast<std::uint32_t>(crc);
 }
 
+void addSegments(std::string& out, std::string_view frame, std::size_t maxPayload,
+                 bool isCompressing) {
+  bool isSelfContained = frame.size() <= maxPayload;
+  while (!frame.empty()) {
+    std::string_view payload = frame.substr(0, maxPayload);
+    if (isCompressing) {
+      addCompressedSegment(out, payload, isSelfContained);
+    } else {
+      addUncompressedSegment(out, payload, isSelfContained);
+    }
+    frame.remove_prefix(payload.size());
+  }
+}
+
 Framed Framing::nextBare(std::string_view bytes, std::size_t& used, Frame& result) {
   Framed framed = readFrame(bytes, maxBodySize_, result);
   if (framed == Framed::bad) return bad("a frame length that is negative or above the limit");
@@ -182,8 +197,18 @@
   return Framed::whole;
 }
 
+// Frees a large buffer whose contents are used up. Otherwise each idle connection would keep the
+// memory of its longest message.
+void Framing::releaseBuffer() {
+  bool isUsedUp = !usesSegments_ || consumed_ == buffer_.size();
+  if (!isUsedUp || buffer_.capacity() <= kMaxIdleBuffer) return;
+  buffer_ = {};
+  consumed_ = 0;
+}
+
 Framed Framing::next(std::string_view bytes, std::size_t& used, Frame& result) {
   used = 0;
+  releaseBuffer();
   if (!usesSegments_) return nextBare(bytes, used, result);
   for (;;) {
     Framed framed = nextBuffered(result);
@@ -204,13 +229,7 @@
 
 Framed Framing::nextBuffered(Frame& result) {
   std::string_view rest = std::string_view(buffer_).substr(consumed_);
-  if (rest.empty()) {
-    if (buffer_.capacity() > kMaxSegmentPayload) {
-      buffer_ = {};
-      consumed_ = 0;
-    }
-    return Framed::partial;
-  }
+  if (rest.empty()) return Framed::partial;
   Framed framed = readFrame(rest, maxBodySize_, result);
   if (framed == Framed::bad) return bad("a frame length that is negative or above the limit");
   if (framed == Framed::partial) {
@@ -230,18 +249,8 @@
     putBare(out, isResponse, version, flags, stream, opcode, body);
     return;
   }
-  std::string bytes = encodeFrame(isResponse, version, flags, stream, opcode, body);
-  std::string_view rest = bytes;
-  bool isSelfContained = rest.size() <= kMaxSegmentPayload;
-  while (!rest.empty()) {
-    std::string_view payload = rest.substr(0, kMaxSegmentPayload);
-    if (isCompressing_) {
-      addCompressedSegment(out, payload, isSelfContained);
-    } else {
-      addUncompressedSegment(out, payload, isSelfContained);
-    }
-    rest.remove_prefix(payload.size());
-  }
+  std::string frame = encodeFrame(isResponse, version, flags, stream, opcode, body);
+  addSegments(out, frame, kMaxSegmentPayload, isCompressing_);
 }
 
 void Framing::putBare(std::string& out, bool isResponse, int version, std::uint8_t flags,
--- a/src/codec/cql/framing.h
+++ b/src/codec/cql/framing.h
@@ -55,6 +55,7 @@
            Opcode opcode, std::string_view body) const;
 
  private:
+  void releaseBuffer();
   Framed nextBare(std::string_view bytes, std::size_t& used, Frame& result);
   Framed nextBuffered(Frame& result);  // from the payloads of earlier segments
   Framed nextSegment(std::string_view bytes, std::size_t& used);
@@ -74,6 +75,11 @@
   const char* why_ = "";
 };
 
+// Appends one frame as segments with a payload of at most `maxPayload` bytes each, which is at most
+// kMaxSegmentPayload.
+void addSegments(std::string& out, std::string_view frame, std::size_t maxPayload,
+                 bool isCompressing);
+
 // The CRC-24 of a segment header: polynomial 0x1974f0b, initial value 0x875060.
 std::uint32_t crc24(std::string_view bytes);
 // The CRC-32 of a segment payload: zlib's CRC-32 over the bytes fa 2d 55 ca and the payload.
--- a/src/protocols/cassandra/client_session.h
+++ b/src/protocols/cassandra/client_session.h
@@ -25,6 +25,7 @@
   // ClientCodec
   bool hasWholeMessage(std::string_view bytes) const override { return framing_.hasFrame(bytes); }
   std::size_t undecodedBytes() const override { return framing_.undecodedBytes(); }
+  std::size_t inputBufferBytes() const override { return framing_.bufferedBytes(); }
   bool hasCompletedStartup() const override { return state_ == State::ready; }
   std::size_t pendingResponses() const override { return pending_.count(); }
   bool isPaused() const override { return pending_.count() >= protocol_.config().streams; }
--- a/tests/protocols/cassandra_segments_test.cpp
+++ b/tests/protocols/cassandra_segments_test.cpp
@@ -160,10 +160,51 @@
   }
 }
 
+// Guards against unbounded memory: clients that each send most of a long message, in segments that
+// the codec takes one by one. Clients may use a quarter of the memory.
+void segmentsMemory() {
+  constexpr int kClients = 90;
+  constexpr int kMemoryMb = 32;
+  constexpr int kDescriptors = 512;
+  constexpr std::size_t kMessageBytes = 250'000;
+  constexpr std::size_t kSentBytes = 200'000;
+  constexpr std::size_t kSegmentBytes = 10'000;
+  std::string settings = kCassandraSettings;
+  settings.replace(settings.find("= 40"), 4, "= 100");
+  for (int version : {4, 5}) {
+    CassandraProxy proxy(1, settings, kMemoryMb, kDescriptors);
+    CqlClient other(proxy);
+    std::vector<std::unique_ptr<CqlClient>> clients;
+    for (int k = 0; k < kClients; ++k) {
+      clients.push_back(std::make_unique<CqlClient>(proxy, version));
+      CqlClient& client = *clients.back();
+      std::string frame = client.queryFrame(selectOf(std::string(kMessageBytes, 'a')), {});
+      frame.resize(kSentBytes);
+      std::string segments;
+      cql::addSegments(segments, frame, kSegmentBytes, false);
+      client.raw(version >= 5 ? segments : frame);
+    }
+    std::string response = other.ask(selectOf("a"), {});
+    proxy.pass(100);
+    std::size_t open = 0, told = 0;
+    for (auto& client : clients) {
+      client->read(), client->read();  // the error, and the end
+      open += !client->ended;
+      if (client->answers.contains(0)) told += client->describe(client->take(0)) == "ERROR 1001";
+    }
+    std::printf("version %d: another client: %s\n", version, response.c_str());
+    std::printf("the others are told that there is no memory: %s\n", test::yes(told > 0));
+    std::printf("those that stay hold at most a quarter and one message: %s\n",
+                test::yes(open * kSentBytes <= (kMemoryMb << 20) / 4 + kMessageBytes));
+    std::printf("memory: %s\n", proxy.usedAtMost(kMemoryMb) ? "under 32 MB" : "over 32 MB");
+  }
+}
+
 constexpr Case kCases[] = {{"segmentsAtDrain", segmentsAtDrain},
                            {"segmentsHalfAtDrain", segmentsHalfAtDrain},
                            {"segmentsStopped", segmentsStopped},
-                           {"segmentsNotIdle", segmentsNotIdle}};
+                           {"segmentsNotIdle", segmentsNotIdle},
+                           {"segmentsMemory", segmentsMemory}};
 
 }  // namespace
 
