Cassandra: a store that stops inside a response over several segments is given up

What callers saw: a read whose store sends all but the end of a response of version 5 and then nothing was rejected (ERROR 1001) as its time was over; the connection stayed in use. In version 4 the connection is given up after a connect timeout and the read is repeated in time.

Fix: undecodedBytes() of the connection counts both.

The toy knows stall<N> for it.

--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -259,8 +259,10 @@
   execution.write = write;
   execution.isMisdirectedWrite = write && !store.primary;
   std::size_t digits = execution.behavior.find_first_of("0123456789");
-  if (digits != std::string::npos &&
-      (execution.behavior.starts_with("slow") || execution.behavior.starts_with("big"))) {
+  bool hasArgument = execution.behavior.starts_with("slow") ||
+                     execution.behavior.starts_with("big") ||
+                     execution.behavior.starts_with("stall");
+  if (digits != std::string::npos && hasArgument) {
     std::from_chars(execution.behavior.data() + digits,
                     execution.behavior.data() + execution.behavior.size(), execution.argument);
     execution.behavior.resize(digits);
--- a/example/toy_cql.cpp
+++ b/example/toy_cql.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::size_t kMaxBufferBytes = 4 << 20;
+constexpr std::size_t kStallSegmentBytes = 10'000;
+constexpr std::size_t kStallTailBytes = 1'000;  // never sent
 
 // The body of a result with one row of one text column. `nextPage` is its paging state, or empty if
 // there is no further page.
@@ -75,7 +77,8 @@
 }
 
 // Handles the words of executeStatement() and, in Cassandra's protocol only: ran (a server error
-// after the write took effect), writetimeout, unasked (an answer on another stream) and pages<N>.
+// after the write took effect), writetimeout, unasked (an answer on another stream), pages<N> and
+// stall<N> (all of a row of N bytes but its end, on connections without compression).
 runtime::Task<> Toy::respondCql(int number, std::shared_ptr<CqlConnection> connection,
                                 CqlRequest request) {
   Store& store = *stores_[static_cast<std::size_t>(number)];
@@ -160,6 +163,16 @@
   } else if (behavior == "big") {
     put(cql::Opcode::result,
         rowBody(std::string(static_cast<std::size_t>(execution.argument), 'b'), ""));
+  } else if (behavior == "stall") {
+    std::string body = rowBody(std::string(static_cast<std::size_t>(execution.argument), 's'), "");
+    std::string frame = cql::encodeFrame(true, connection->version, 0, request.stream,
+                                         cql::Opcode::result, body);
+    frame.resize(frame.size() - kStallTailBytes);
+    if (connection->framing.usesSegments())
+      cql::addSegments(connection->out, frame, kStallSegmentBytes, false);
+    else
+      connection->out += frame;
+    if (!std::exchange(connection->writing, true)) scheduler_.spawn(writeCql(connection));
   } else if (behavior.starts_with("pages")) {
     // pages<N>: a result of N pages; the paging state is the number of the next page.
     int pages = std::atoi(behavior.c_str() + 5),
--- a/src/protocols/cassandra/upstream_connection.cpp
+++ b/src/protocols/cassandra/upstream_connection.cpp
@@ -86,6 +86,10 @@
   UpstreamProtocol::StoreState& storeState() { return protocol_.storeState(store); }
   WallTime newestPosition();
   bool isIdle() const { return streams_.requestCount() == 0 && incoming_.empty(); }
+  // Received bytes of frames that are not decoded yet: of the socket, and of consumed segments.
+  std::size_t undecodedBytes() const {
+    return in_.size() - parsedSize_ + framing_.undecodedBytes();
+  }
   // Logs the error and marks the connection as broken, as the bytes that follow can't be trusted.
   // Returns false.
   bool onProtocolError(const char* what);
@@ -134,7 +138,7 @@
   std::string out_;                        // queued for writing
   std::string beingWritten_;               // by writeRest(), while the socket buffer is full
   std::uint64_t queuedBytes_ = 0, writtenBytes_ = 0;  // since the connection was created
-  // Since when an incomplete frame in `in_` has received no further bytes.
+  // Since when an incomplete frame has received no further bytes.
   TimePoint partialFrameSince_ = kNever;
   TimePoint lastReadAt_ = kNever;
   TimePoint drainedAt_ = kNever;
@@ -486,10 +490,11 @@
     partialFrameSince_ = kNever;
     return true;
   }
-  if (in_.empty()) partialFrameSince_ = kNever;
+  bool hasPartialFrame = undecodedBytes() > 0;
+  if (!hasPartialFrame) partialFrameSince_ = kNever;
   // A frame whose length field exceeds the bytes that ever arrive would block all requests behind
   // it, so an incomplete frame may stall for one connect timeout at most.
-  if (!in_.empty() && partialFrameSince_ == kNever) partialFrameSince_ = now;
+  if (hasPartialFrame && partialFrameSince_ == kNever) partialFrameSince_ = now;
   if (partialFrameSince_ != kNever && now - partialFrameSince_ >= pools.limits().connectTimeout)
     return onProtocolError("stalled");
   return true;
--- a/tests/protocols/cassandra_segments_test.cpp
+++ b/tests/protocols/cassandra_segments_test.cpp
@@ -200,11 +200,25 @@
   }
 }
 
-constexpr Case kCases[] = {{"segmentsAtDrain", segmentsAtDrain},
-                           {"segmentsHalfAtDrain", segmentsHalfAtDrain},
-                           {"segmentsStopped", segmentsStopped},
-                           {"segmentsNotIdle", segmentsNotIdle},
-                           {"segmentsMemory", segmentsMemory}};
+// Guards against a store that stops in the middle of a response and holds its connection, with all
+// requests on it, because the beginning of the response is in the codec. The connection is closed
+// after one connect timeout.
+void segmentsStoreStops() {
+  for (int version : {4, 5}) {
+    CassandraProxy proxy(1);
+    CqlClient client(proxy, version);
+    client.ask(selectOf("a"), {});
+    std::string response = client.ask(selectOf("stall50000-ok"), {});
+    bool isClosed = proxy.logged("upstream_protocol_error store=0 what=\"stalled\"");
+    std::printf("version %d: %s; the connection is given up: %s\n", version, response.c_str(),
+                test::yes(isClosed));
+  }
+}
+
+constexpr Case kCases[] = {
+    {"segmentsAtDrain", segmentsAtDrain}, {"segmentsHalfAtDrain", segmentsHalfAtDrain},
+    {"segmentsStopped", segmentsStopped}, {"segmentsNotIdle", segmentsNotIdle},
+    {"segmentsMemory", segmentsMemory},   {"segmentsStoreStops", segmentsStoreStops}};
 
 }  // namespace
 
