Cassandra: responses in small segments count against the limit of their memory

What was seen: stores that send most of a response of 900 KB in segments of 10 KB: the limit on the bytes buffered for all stores was never looked at (24 at once, 32 MB). Version 4 looks at it, and so does version 5 with segments of over 64 KB, whose bytes stand in the socket's buffer for a time.

Fix: undecodedBytes() decides.

Measured: segmentsStoreMemory on the program of: "the limit is kept: no" in version 5, now yes, as in version 4.

--- a/src/protocols/cassandra/upstream_connection.cpp
+++ b/src/protocols/cassandra/upstream_connection.cpp
@@ -470,7 +470,7 @@
 // Checks the limit on bytes buffered over all connections, since many stores that send large
 // responses at once could exhaust the memory. Marks the connection as broken if it is exceeded.
 bool Connection::exceedsMemoryLimit() {
-  if (in_.size() <= kMaxReadBytes) return false;
+  if (undecodedBytes() <= kMaxReadBytes) return false;
   if (pools.bufferedBytes() <= pools.limits().maxBufferedBytes) return false;
   log::line("upstream_memory_limit", "store=%d bytes=%zu", store, pools.bufferedBytes());
   isBroken_ = true;
--- a/tests/protocols/cassandra_segments_test.cpp
+++ b/tests/protocols/cassandra_segments_test.cpp
@@ -215,10 +215,35 @@
   }
 }
 
+// Guards against unbounded memory: stores that each send most of a long response, in segments that
+// the codec takes one by one. What is received from stores may use a quarter of the memory.
+void segmentsStoreMemory() {
+  constexpr int kReads = 24;
+  constexpr int kMemoryMb = 32;
+  // The responses must not stall for a connect timeout before all of them have been received.
+  test::edits = {{"\"connect_timeout\":250000", "\"connect_timeout\":2000000"}};
+  std::string settings = kCassandraSettings;
+  settings.replace(settings.find("streams = 64"), 12, "streams = 1");  // a connection per read
+  for (int version : {4, 5}) {
+    CassandraProxy proxy(3, settings, kMemoryMb);
+    CqlClient client(proxy, version);
+    client.ask(selectOf("a"), {});
+    for (int stream = 1; stream <= kReads; ++stream)
+      client.query(selectOf("stall900000-full-full-full"), {.waitMs = 1500}, stream);
+    for (int stream = 1; stream <= kReads; ++stream) client.answer(stream);
+    std::printf("version %d: the limit is kept: %s; memory: %s\n", version,
+                test::yes(proxy.logged("upstream_memory_limit")),
+                proxy.usedAtMost(kMemoryMb) ? "under 32 MB" : "over 32 MB");
+    proxy.until("served again",
+                [&] { return client.ask(selectOf("b"), {}) == "row 'value of b'"; });
+  }
+}
+
 constexpr Case kCases[] = {
-    {"segmentsAtDrain", segmentsAtDrain}, {"segmentsHalfAtDrain", segmentsHalfAtDrain},
-    {"segmentsStopped", segmentsStopped}, {"segmentsNotIdle", segmentsNotIdle},
-    {"segmentsMemory", segmentsMemory},   {"segmentsStoreStops", segmentsStoreStops}};
+    {"segmentsAtDrain", segmentsAtDrain},        {"segmentsHalfAtDrain", segmentsHalfAtDrain},
+    {"segmentsStopped", segmentsStopped},        {"segmentsNotIdle", segmentsNotIdle},
+    {"segmentsMemory", segmentsMemory},          {"segmentsStoreStops", segmentsStoreStops},
+    {"segmentsStoreMemory", segmentsStoreMemory}};
 
 }  // namespace
 
