Discovery: a connection with bytes behind its last response isn't used again

Fix: such a connection is closed, as one with unsolicited bytes in its socket already is (RFC 9112, 6.3). A service that answers as asked sees no difference.

--- a/src/discovery/http_connection.cpp
+++ b/src/discovery/http_connection.cpp
@@ -27,12 +27,13 @@
   input_.clear();
 }
 
-// The service may have closed the idle connection, or have sent data without a request.
+// The service may have closed the idle connection, or have sent data without a request: after the
+// last response, or together with it. What follows such data can't be told from the next response.
 void HttpConnection::closeIfStale() {
   if (!isOpen()) return;
-  input_.clear();
+  bool hasUnsolicitedData = !input_.empty();
   runtime::Socket::ReadStatus readStatus = socket_->read(input_, limits_.maxBodyBytes);
-  if (readStatus != runtime::Socket::ReadStatus::noData) socket_->close();
+  if (hasUnsolicitedData || readStatus != runtime::Socket::ReadStatus::noData) socket_->close();
 }
 
 runtime::Task<bool> HttpConnection::connect(TimePoint until) {
