Tests: memory reads the peak that it holds against its bound

The test of the clients' memory read the number from the middle of "bytes=", so the peak was always 0 and its bound could not fail. It reads the number now, under the same bound.

--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -473,7 +473,7 @@
   for (std::size_t at = 0; (at = d.log.find("client_memory_limit bytes=", at)) != std::string::npos;
        ++at)
     peakBytes = std::max<std::size_t>(peakBytes,
-                                      static_cast<std::size_t>(std::atoi(d.log.c_str() + at + 22)));
+                                      static_cast<std::size_t>(std::atoi(d.log.c_str() + at + 26)));
   std::printf("they held more than a quarter of 32 MB and one message: %s\n",
               peakBytes > (8u << 20) + (256u << 10) ? "yes" : "no");
   clients.clear();
