Cassandra: Framing frees the buffer that it no longer needs

What was seen: connections keep the memory of their longest message for as long as they live, and, since input in the codec counts, count with it against the limit for all clients, so that others would be told that there is no memory.

Cause: "buffer_ = {}" empties a string and keeps its memory; the assignment of an empty string copies no bytes and releases nothing (libstdc++).

Fix: the buffer is swapped with an empty one.

--- a/src/codec/cql/framing.cpp
+++ b/src/codec/cql/framing.cpp
@@ -202,7 +202,7 @@
 void Framing::releaseBuffer() {
   bool isUsedUp = !usesSegments_ || consumed_ == buffer_.size();
   if (!isUsedUp || buffer_.capacity() <= kMaxIdleBuffer) return;
-  buffer_ = {};
+  std::string().swap(buffer_);
   consumed_ = 0;
 }
 
--- a/tests/codec/cql_test.cpp
+++ b/tests/codec/cql_test.cpp
@@ -499,10 +499,38 @@
                                                     : "too few of a kind");
 }
 
-constexpr Case kCases[] = {{"cqlFrames", frames},       {"cqlSplits", splits},
-                           {"cqlChecksums", checksums}, {"cqlLiars", inconsistentInput},
-                           {"cqlTexts", texts},         {"cqlRequests", requests},
-                           {"cqlReplies", replies},     {"cqlNoise", randomCorruption}};
+// Guards against connections that keep the memory of their longest message while they are idle: a
+// buffer that is only emptied keeps it. 300 KB are received in pieces of 16 KB.
+void releasedBuffers() {
+  constexpr std::size_t kPieceBytes = 16 * 1024;
+  constexpr std::size_t kMaxIdleBytes = 16 * 1024;
+  for (bool segments : {false, true})
+    for (bool compress : {false, true}) {
+      Framing framing = framingOf(segments, compress);
+      std::string bytes, in;
+      framing.put(bytes, true, segments ? 5 : 4, 0, 1, Opcode::result, std::string(300'000, 'r'));
+      std::size_t frames = 0;
+      for (std::string_view piece : splitInPieces(bytes, kPieceBytes)) {
+        in += piece;
+        Framed got = Framed::whole;
+        while (got == Framed::whole) {
+          Frame frame;
+          std::size_t used = 0;
+          got = framing.next(in, used, frame);
+          frames += got == Framed::whole;
+          in.erase(0, used);
+        }
+      }
+      std::printf("%s %s: frames %zu, keeps at most 16 KB: %s\n", segments ? "segments" : "bare",
+                  compress ? "lz4" : "plain", frames,
+                  framing.bufferedBytes() <= kMaxIdleBytes ? "yes" : "no");
+    }
+}
+
+constexpr Case kCases[] = {
+    {"cqlFrames", frames},       {"cqlBuffers", releasedBuffers}, {"cqlSplits", splits},
+    {"cqlChecksums", checksums}, {"cqlLiars", inconsistentInput}, {"cqlTexts", texts},
+    {"cqlRequests", requests},   {"cqlReplies", replies},         {"cqlNoise", randomCorruption}};
 
 }  // namespace
 
