Tests: one CassandraProxy for both files that start one

The segments' tests had written it again with a number of descriptors. It stands beside the client and the settings that both use. No check changes.

--- a/tests/protocols/cassandra_proxy_test.cpp
+++ b/tests/protocols/cassandra_proxy_test.cpp
@@ -4,8 +4,8 @@
 
 using namespace reedchute;
 using test::Case;
+using test::CassandraProxy;
 using test::CqlClient;
-using test::Drive;
 using test::insertOf;
 using test::kCassandraSettings;
 using test::made;
@@ -14,11 +14,6 @@
 
 namespace {
 
-struct CassandraProxy : Drive {
-  explicit CassandraProxy(int stores, std::string settings = kCassandraSettings, int memoryMb = 64)
-      : Drive(stores, 256, "automatic", "", false, memoryMb, "15000000", std::move(settings)) {}
-};
-
 std::string eventsOf(const char* kind) {
   return made([&](auto& body) { cql::addShort(body, 1), cql::addString(body, kind); });
 }
--- a/tests/protocols/cassandra_segments_test.cpp
+++ b/tests/protocols/cassandra_segments_test.cpp
@@ -10,8 +10,8 @@
 
 using namespace reedchute;
 using test::Case;
+using test::CassandraProxy;
 using test::CqlClient;
-using test::Drive;
 using test::insertOf;
 using test::kCassandraSettings;
 using test::segment;
@@ -20,13 +20,6 @@
 
 namespace {
 
-struct CassandraProxy : Drive {
-  explicit CassandraProxy(int stores, std::string settings = kCassandraSettings, int memoryMb = 64,
-                          int descriptors = 256)
-      : Drive(stores, descriptors, "automatic", "", false, memoryMb, "15000000",
-              std::move(settings)) {}
-};
-
 // Waits until the connection has ended, and describes the responses on streams 1 to `streams`.
 std::string responsesUntilEnd(CqlClient& client, int streams) {
   client.d.until("closed", [&] { return client.read(), client.ended; });
--- a/tests/support/cql_client.h
+++ b/tests/support/cql_client.h
@@ -242,4 +242,12 @@
 }
 )";
 
+// A proxy with a Cassandra listener.
+struct CassandraProxy : Drive {
+  explicit CassandraProxy(int stores, std::string settings = kCassandraSettings, int memoryMb = 64,
+                          int descriptors = 256)
+      : Drive(stores, descriptors, "automatic", "", false, memoryMb, "15000000",
+              std::move(settings)) {}
+};
+
 }  // namespace reedchute::test
