--- a/tests/protocols/cassandra_segments_test.cpp
+++ b/tests/protocols/cassandra_segments_test.cpp
@@ -1,6 +1,9 @@
 // Segments of the Cassandra protocol's version 5 against a whole proxy. A segment may contain
 // several frames, or a part of one, so what the proxy has read is not only in its socket buffers.
 // Version 4, which has no segments, is the reference.
+#include <csignal>
+#include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -32,7 +35,7 @@
   return description;
 }
 
-// Sends `bytes` on an idle connection just as the proxy closes its idle connections.
+// Sends `requests` on an idle connection just as the proxy closes its idle connections.
 void sendAtDrain(const char* what, int version, bool isCompressed,
                  const std::function<std::string(CqlClient&)>& requests) {
   CassandraProxy proxy(1);
@@ -51,8 +54,8 @@
   if (proxy.logged("invariant_violated")) std::printf("a violation was logged\n");
 }
 
-// Guards against requests that are lost at a shutdown because others of the same segment are taken
-// for the last ones received. Each request that was read must get a response.
+// Guards against requests that are lost at a shutdown because one before them in their segment is
+// taken for the last one received. Each request that was read must get a response.
 void segmentsAtDrain() {
   auto read = [](CqlClient& client, int stream) {
     return client.queryFrame(selectOf("b"), {}, stream);
