--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -469,6 +469,7 @@
   }
   std::printf("some were told that there is no memory: %s; ended: %d\n", refused > 0 ? "yes" : "no",
               closed);
+  d.logged("client_memory_limit");  // reads the log
   std::size_t peakBytes = 0;
   for (std::size_t at = 0; (at = d.log.find("client_memory_limit bytes=", at)) != std::string::npos;
        ++at)
