Client: a statement that arrives while the process is held up counts from its arrival

Cause: a process that isn't running learns of bytes and connections only when it runs again, and took that time for their arrival.

Now, when two rounds are 50 ms apart or more, new bytes may have come at any time since the earlier one: the kernel's time since the last bytes came (TCP_INFO) bounds it, on open connections and on those that wait to be accepted.

--- a/src/client/acceptor.cpp
+++ b/src/client/acceptor.cpp
@@ -31,11 +31,13 @@
   switch (accepted.status) {
     case runtime::AcceptStatus::accepted:
       backoff_.reset();
-      owner_.onAccepted(accepted.fd, acceptableSince_);
+      owner_.onAccepted(accepted.fd, acceptableSince_ != kNever ? acceptableSince_
+                                                                : listener_->mayBeUnreadSince());
       return true;
     case runtime::AcceptStatus::queueEmpty:
       backoff_.reset();
       acceptableSince_ = kNever;
+      listener_->markFullyRead();
       return false;
     default:
       log::line("accept_failed", "errno=%d exhausted=%d", accepted.error,
--- a/src/client/arrival_clock.cpp
+++ b/src/client/arrival_clock.cpp
@@ -24,7 +24,8 @@
 
 bool ArrivalClock::needsQueue(const ReadContext& context) const {
   if (refillUntil_) return true;
-  TimePoint since = needsLastReceive() ? acceptableSince_ : context.unreadSince;
+  TimePoint earliest = earliestPossible(context);
+  TimePoint since = earliest != kNever ? earliest : context.unreadSince;
   return since != kNever && context.now - since >= kMinUnreadAge;
 }
 
@@ -42,12 +43,13 @@
   return std::min(*earliestArrival_, context.now);
 }
 
-// The bytes of a new connection may have arrived at any time since it could have been accepted.
+// The bytes of a new connection may have arrived at any time since it could have been accepted,
+// and those that a held-up process finds at any time since it last looked.
 TimePoint ArrivalClock::firstArrival(const ReadContext& context) const {
   TimePoint since = context.unreadSince == kNever ? context.now : context.unreadSince;
-  if (!needsLastReceive()) return since;
+  if (!needsLastReceive(context)) return since;
   Duration ago = context.sinceLastReceive.value_or(maxAcceptWait_);
-  return std::min(since, std::max(acceptableSince_, context.now - ago));
+  return std::min(since, std::max(earliestPossible(context), context.now - ago));
 }
 
 void ArrivalClock::noteQueue(const ReadContext& context) {
--- a/src/client/arrival_clock.h
+++ b/src/client/arrival_clock.h
@@ -13,9 +13,11 @@
 // The state of a connection right before it is read.
 struct ReadContext {
   TimePoint now;
-  TimePoint unreadSince = kNever;            // when epoll first reported unread bytes
-  std::optional<Duration> sinceLastReceive;  // if the kernel reports it
-  std::optional<runtime::ReceiveQueue> queue;
+  TimePoint unreadSince = kNever;  // when epoll first reported unread bytes
+  // Since when they may have been unread, if the process may have been held up before that.
+  TimePoint mayBeUnreadSince = kNever;
+  std::optional<Duration> sinceLastReceive = std::nullopt;  // if the kernel reports it
+  std::optional<runtime::ReceiveQueue> queue = std::nullopt;
 };
 
 // Until the receive queue is found empty, all bytes get the arrival time of the first one: bytes
@@ -31,7 +33,9 @@
       : acceptableSince_(acceptableSince), maxAcceptWait_(maxAcceptWait) {}
 
   // Which optional fields of ReadContext the next read depends on; the others need not be queried.
-  bool needsLastReceive() const { return acceptableSince_ != kNever; }
+  bool needsLastReceive(const ReadContext& context) const {
+    return earliestPossible(context) != kNever;
+  }
   bool needsQueue(const ReadContext& context) const;
   // Called before each read. Returns the earliest time at which the bytes of this read may have
   // been sent.
@@ -40,6 +44,11 @@
   void afterRead(TimePoint now, std::size_t bytes, bool isDrained);
 
  private:
+  // The earliest time at which unread bytes may have arrived, if that may be before they were
+  // reported; otherwise kNever.
+  TimePoint earliestPossible(const ReadContext& context) const {
+    return acceptableSince_ != kNever ? acceptableSince_ : context.mayBeUnreadSince;
+  }
   TimePoint firstArrival(const ReadContext& context) const;
   void noteQueue(const ReadContext& context);
 
--- a/src/client/session.cpp
+++ b/src/client/session.cpp
@@ -67,8 +67,10 @@
 }
 
 TimePoint Session::earliestArrival(TimePoint now) {
-  ReadContext context{now, socket.unreadSince(), std::nullopt, std::nullopt};
-  if (clock_.needsLastReceive())
+  ReadContext context{.now = now,
+                      .unreadSince = socket.unreadSince(),
+                      .mayBeUnreadSince = socket.mayBeUnreadSince()};
+  if (clock_.needsLastReceive(context))
     context.sinceLastReceive = runtime::timeSinceLastReceive(socket.fd());
   if (clock_.needsQueue(context)) context.queue = runtime::receiveQueue(socket.fd());
   return clock_.beforeRead(context);
--- a/src/runtime/descriptor.h
+++ b/src/runtime/descriptor.h
@@ -25,6 +25,15 @@
   bool hasPeerClosed() const { return hasPeerClosed_; }
   // When epoll first reported the bytes that may be unread; kNever if there are none.
   TimePoint unreadSince() const { return unreadSince_; }
+  // Since when they may have been unread, if the process may have been held up before epoll
+  // reported them; otherwise kNever.
+  TimePoint mayBeUnreadSince() const { return mayBeUnreadSince_; }
+
+  // Nothing is unread (or waits to be accepted) any more.
+  void markFullyRead() {
+    unreadSince_ = kNever;
+    mayBeUnreadSince_ = kNever;
+  }
 
   Event readable;
   Event writable;
@@ -33,7 +42,6 @@
   // Sets both events after a short delay. For calls that failed for lack of memory, as epoll
   // reports no edge when they may succeed.
   void retryLater() { scheduler_.retryLater(*this); }
-  void markFullyRead() { unreadSince_ = kNever; }
 
  private:
   friend class Scheduler;
@@ -42,6 +50,7 @@
   bool isWatched_ = false;
   bool hasPeerClosed_ = false;
   TimePoint unreadSince_ = kNever;
+  TimePoint mayBeUnreadSince_ = kNever;
 };
 
 }  // namespace reedchute::runtime
--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -107,7 +107,10 @@
     Descriptor& descriptor = *static_cast<Descriptor*>(events[k].data.ptr);
     std::uint32_t flags = events[k].events;
     if (flags & kPeerClosed) descriptor.hasPeerClosed_ = true;
-    if (flags & EPOLLIN && descriptor.unreadSince_ == kNever) descriptor.unreadSince_ = now_;
+    if (flags & EPOLLIN && descriptor.unreadSince_ == kNever) {
+      descriptor.unreadSince_ = now_;
+      descriptor.mayBeUnreadSince_ = eventsSince_;
+    }
     if (flags & kReadable) descriptor.readable.set();
     if (flags & kWritable) descriptor.writable.set();
   }
@@ -123,9 +126,11 @@
 void Scheduler::collectEvents(TimePoint until) {
   epoll_event events[kMaxEventsPerBatch];
   Duration maxWait = waitTime(until);
+  TimePoint lastRound = now_;
   TimePoint waitBegan = monotonicNow();
   int count = waitForEvents(events, maxWait);
   readClock();
+  eventsSince_ = now_ - lastRound >= kLongWait ? lastRound : kNever;
   // The events of all batches are applied before the first coroutine runs. A coroutine may close a
   // descriptor whose events are in a later batch, and its number may be reused immediately. Also, a
   // decision must take into account that a client has disconnected, even if that event is in a
--- a/src/runtime/scheduler.h
+++ b/src/runtime/scheduler.h
@@ -63,6 +63,9 @@
   friend class Descriptor;
 
   static constexpr Duration kStaleRound{10'000};
+  // Two rounds this far apart: the process slept for want of events, or was held up. It can't tell
+  // which. Longer than the time between two wakes of the decision engine (eight ticks).
+  static constexpr Duration kLongWait{50'000};
 
   struct Root;
   using Timers = std::map<std::pair<TimePoint, std::uint64_t>, Event*>;
@@ -82,6 +85,9 @@
   int epoll_ = -1;
   WallClock wallClock_;
   TimePoint now_;
+  // If the process may have been held up before it read this round's events: the time since which
+  // they may have occurred. Otherwise kNever.
+  TimePoint eventsSince_ = kNever;
   Duration minClockStep_;
   std::function<void(Duration)> clockStepListener_;
   bool isStopped_ = false;
--- a/tests/proxy/races_test.cpp
+++ b/tests/proxy/races_test.cpp
@@ -467,6 +467,40 @@
   d.c.asks("the next one gets its own", Client::read("b"));
 }
 
+// The time that a statement tells its store, in milliseconds.
+int timeTold(const std::string& text) {
+  return std::atoi(text.c_str() + text.find(",d=") + 3);
+}
+
+// A statement that arrives while the proxy is held up, on a new connection or an open one: its time
+// runs from when it arrived, and its store is told no more than what is left.
+void toldAfterHold() {
+  constexpr int kDeadlineMs = 3000, kSlackMs = 150;
+  for (int heldMs : {200, 500, 1500}) {
+    DriveWithClient d(1);
+    int toldMs = 0;
+    TimePoint receivedAt;
+    d.toy.onStatement = [&](int, const std::string& text) {
+      toldMs = timeTold(text), receivedAt = d.s.now();
+    };
+    for (bool isNew : {false, true}) {
+      d.pass(100);  // the proxy is idle
+      d.stop();
+      Client newcomer(d, false);
+      std::string request = pg::query(Client::read("b", kDeadlineMs));
+      TimePoint sentAt = d.s.now();
+      isNew ? newcomer.send(pg::startup("web", "orders") + request) : d.c.send(request);
+      d.pass(heldMs);
+      d.resume();
+      std::string answer = isNew ? newcomer.get(2) : d.c.get();
+      Duration left = ms(kDeadlineMs) - (receivedAt - sentAt);
+      std::printf("held up for %d ms, %s connection: no more told than is left %s; %s\n", heldMs,
+                  isNew ? "a new" : "an open", yes(ms(toldMs) <= left + ms(kSlackMs)),
+                  answer.c_str());
+    }
+  }
+}
+
 // The proxy sends a fatal error and closes while much of the client's data is unread: the client
 // receives the error, without a reset.
 void lastWord() {
@@ -602,6 +636,7 @@
                        {"answerAtDeadline", answerAtDeadline},
                        {"lastWord", lastWord},
                        {"readsSlowly", readsSlowly},
+                       {"toldAfterHold", toldAfterHold},
                        {"termUnaccepted", termUnaccepted},
                        {"startsUnheard", startsUnheard},
                        {"roomForOne", roomForOne},
