Discovery: a service is polled by one task, though SIGHUP is pending at the start

Cause: SIGHUP that is pending as a process starts is handled before the first poll, so that setService() and run() both began to poll the new service; two tasks waited on one event, the first one's timer stayed without a waiter, and once it was due the loop over due timers never ended.

Test: reloadAtStart hangs before and passes now.

--- a/src/discovery/endpoint_watcher.cpp
+++ b/src/discovery/endpoint_watcher.cpp
@@ -37,6 +37,7 @@
   bool isVersionKnown = false;  // `version` was sent by this service
   bool hasResponded = false;
   bool pollsAtOnce = false;     // the first poll doesn't wait for requestPoll()
+  bool isPolled = false;        // a task polls it, or is about to
   bool respondedEarly = false;  // the last watch returned at once, without changes
 };
 
@@ -88,10 +89,13 @@
     abandon(previous);
   }
   service_->pollsAtOnce = true;
+  service_->isPolled = true;
   scheduler_.spawn(pollService(service_));
 }
 
+// If SIGHUP was pending as the process started, setService() has already begun to poll a service.
 runtime::Task<> EndpointWatcher::run() {
+  if (std::exchange(service_->isPolled, true)) co_return;
   co_await pollService(service_);
 }
 
--- a/tests/proxy/races_test.cpp
+++ b/tests/proxy/races_test.cpp
@@ -590,6 +590,21 @@
   std::printf("asked for 9 s: %s\n", patient.get(2).c_str());
 }
 
+// SIGHUP is pending as the process starts, and the list service is silent: a single task polls it.
+void reloadAtStart() {
+  Drive d(1);
+  d.toy.setListUnresponsive(true), d.awaitsList = false;
+  d.signalAtStart = SIGHUP;
+  d.killAndStart();
+  d.until("the poll is given up", [&] { return d.logged(" discovery_timeout "); });
+  d.toy.setListUnresponsive(false);
+  d.until("the list is read", [&] { return d.logged(" endpoints_updated "); });
+  Client c(d);
+  c.asks("SIGHUP at the start, and a silent list service", Client::read("a"));
+  d.signal(SIGTERM);
+  d.printExitCode();
+}
+
 // Idle clients use all client connections while the list service is unreachable: the proxy still
 // connects to the service and to the stores.
 void fullHouse() {
@@ -637,6 +652,7 @@
                        {"lastWord", lastWord},
                        {"readsSlowly", readsSlowly},
                        {"toldAfterHold", toldAfterHold},
+                       {"reloadAtStart", reloadAtStart},
                        {"termUnaccepted", termUnaccepted},
                        {"startsUnheard", startsUnheard},
                        {"roomForOne", roomForOne},
--- a/tests/support/drive.h
+++ b/tests/support/drive.h
@@ -53,6 +53,15 @@
   return number == SYS_epoll_pwait || number == SYS_epoll_pwait2;
 }
 
+// Leaves the signal blocked and pending, also for a program that is executed after this.
+inline void raiseBlocked(int signal) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, signal);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+  raise(signal);
+}
+
 class Drive {
  public:
   // Starts the stores (store 0 is the primary) and the front.
@@ -129,6 +138,7 @@
     if (pipe2(execPipe, O_CLOEXEC) < 0) throw std::runtime_error("pipe2 failed");
     child_ = fork();
     if (child_ == 0) {
+      if (signalAtStart > 0) raiseBlocked(signalAtStart);
       dup2(fds[1], 2);
       setenv("LB_CONFIG", path_.c_str(), 1);
       if (listenerSettings_.empty()) execl(program, program, static_cast<char*>(nullptr));
@@ -360,6 +370,7 @@
   bool show = false;
   // Endpoint list in the front's configuration; empty: the present one of the toy.
   std::string known;
+  int signalAtStart = 0;   // a signal that is pending as the front starts
   bool awaitsList = true;  // start() waits until the front has received the endpoint list
   int sent = 0;            // number of statements that the stores received
   std::uint16_t listPort() const {
