Soak: stores that bear only so much, the reproduction of cold stores in an overload

The soak could not see this: its oracle took N from the largest load that any member got, so that an overrun raised its own bound, and its stores took any load.

--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -20,6 +20,7 @@
 // How long a client that stopped in the middle of a message keeps its connection open.
 constexpr std::int64_t kStoppedUs = 3'600'000;
 constexpr int kMaxPipelined = 12;
+constexpr std::int64_t kThinkStepUs = 20'000;
 
 class Client {
  public:
@@ -27,6 +28,7 @@
       : control_(control),
         recorder_(recorder),
         fronts_(options.fronts),
+        writesOneIn_(options.writesOneIn),
         prefix_((static_cast<std::uint64_t>(options.number) + 1) << 32 |
                 static_cast<std::uint64_t>(thread) << 24),
         random_(static_cast<unsigned>(options.seed * 7919 + prefix_ / 4096 +
@@ -36,7 +38,7 @@
     while (!control_.stop) {
       if (socket_ < 0 && !connectToFront()) continue;
       act();
-      if (int think = control_.thinkUs; think > 0) usleep(below(static_cast<unsigned>(think)));
+      think();
     }
     if (socket_ >= 0) close(socket_);
   }
@@ -50,6 +52,21 @@
   unsigned below(unsigned n) { return static_cast<unsigned>(random_() % n); }
   bool oneIn(int n) { return n > 0 && below(static_cast<unsigned>(n)) == 0; }
 
+  // Pauses for a random time; ends early if clients are to send without a pause from now on.
+  void think() {
+    int longest = control_.thinkUs;
+    if (longest <= 0) return;
+    for (std::int64_t left = below(static_cast<unsigned>(longest));
+         left > 0 && control_.thinkUs > 0 && !control_.stop; left -= kThinkStepUs)
+      usleep(static_cast<useconds_t>(std::min(left, kThinkStepUs)));
+  }
+  const Workload& drawWorkload() {
+    constexpr unsigned kReads = 2;  // the first workloads are reads
+    unsigned all = std::size(kWorkloads);
+    if (writesOneIn_ == 0) return kWorkloads[below(all)];
+    return kWorkloads[oneIn(writesOneIn_) ? kReads + below(all - kReads) : below(kReads)];
+  }
+
   bool connectToFront() {
     front_ = static_cast<int>(below(static_cast<unsigned>(fronts_)));
     socket_ = connectTo(frontHost(front_), control_.frontPort[front_], kConnectMs);
@@ -107,7 +124,7 @@
     std::vector<Event> events;
     std::string bytes;
     for (int k = 0; k < count; ++k) {
-      const Workload& w = kWorkloads[below(static_cast<unsigned>(std::size(kWorkloads)))];
+      const Workload& w = drawWorkload();
       int deadlineMs = oneIn(25) ? 5 + static_cast<int>(below(60))
                                  : kMinDeadlineMs +
                                        static_cast<int>(below(kMaxDeadlineMs - kMinDeadlineMs));
@@ -191,7 +208,7 @@
 
   Control& control_;
   const Recorder& recorder_;
-  int fronts_, front_ = 0, socket_ = -1, port_ = 0;
+  int fronts_, writesOneIn_, front_ = 0, socket_ = -1, port_ = 0;
   std::string in_;
   std::int64_t written_ = 0;
   std::uint64_t prefix_, counter_ = 0;
--- a/tests/soak/control.h
+++ b/tests/soak/control.h
@@ -7,11 +7,12 @@
 #include <cstdint>
 
 #include "faults.h"
+#include "slow_start_terms.h"
 
 namespace soak {
 
 inline constexpr int kStores = 64;  // at most, including those that join during a run
-inline constexpr int kFronts = 8;
+inline constexpr int kFronts = 48;
 
 enum class ListState : int { absent = 0, up, draining, removed };
 enum class ListMode : int { normal = 0, silent, unavailable, slow };
@@ -39,6 +40,7 @@
 
 struct Control {
   StoreControl stores[kStores];
+  StoreTerms storeTerms;  // set before the first store starts
   std::atomic<int> storeCount;
   std::atomic<std::int64_t> listVersion;
   std::atomic<int> changedAt[kStores];  // endpoint list version at which this store last changed
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -39,6 +39,7 @@
       fronts_(static_cast<std::size_t>(options_.fronts)) {
   control_->listVersion = 1;
   control_->thinkUs = options_.thinkUs;
+  control_->storeTerms = options_.storeTerms;
 }
 
 Fleet::~Fleet() {
@@ -69,10 +70,11 @@
   for (int k = 0; k < planned; ++k) {
     int port = 0, socket = listenOn("127.0.0.1", port);
     control_->stores[k].proxyPort = port;
-    control_->stores[k].serviceUs = 2'000;
+    control_->stores[k].serviceUs = options_.storeTerms.serviceUs;
     proxies[static_cast<std::size_t>(k % kProxyProcesses)].listeners.emplace_back(k, socket);
     sockets.push_back(socket);
   }
+  for (ProxyOptions& proxy : proxies) proxy.pollMs = options_.proxyPollMs;
   ListOptions list{{}, path("list.events")};
   for (int front = 0; front < options_.fronts; ++front)
     for (int which : {0, 1}) {
@@ -110,8 +112,12 @@
     for (int front = 0; front < options_.fronts; ++front) all = all && isAnswering(front);
     if (!all) continue;
     for (int k = 0; k < options_.clientProcesses; ++k) {
-      ClientOptions c{k, options_.threadsPerProcess, options_.fronts, options_.seed,
-                      path("client" + std::to_string(k) + ".events")};
+      ClientOptions c{.number = k,
+                      .threads = options_.threadsPerProcess,
+                      .fronts = options_.fronts,
+                      .writesOneIn = options_.writesOneIn,
+                      .seed = options_.seed,
+                      .events = path("client" + std::to_string(k) + ".events")};
       clients_.push_back(forkPeer([&] { runClients(*control_, c); }));
     }
     return true;
@@ -166,7 +172,9 @@
 void Fleet::startStore(int store, bool isWarm) {
   StoreControl& s = control_->stores[store];
   s.frozenAt = 0;
-  StoreOptions o{store, path("store" + std::to_string(store) + ".events")};
+  StoreOptions o{.index = store,
+                 .startsCold = !isWarm,
+                 .events = path("store" + std::to_string(store) + ".events")};
   recorder_.add({.kind = Kind::storeStarted,
                  .store = store,
                  .port = s.proxyPort,
@@ -255,11 +263,11 @@
          std::to_string(options_.maxAttempts) + ",\"may_cancel\":" + jsonBool(options_.mayCancel) +
          ",\"parallel_tries\":" + jsonBool(options_.allowsParallelAttempts) +
          ",\"probes\":true,\"retry_after\":true,\"max_retry_after\":2000000},"
-         "\"obligations\":{\"ask_every\":2000000,\"cold_from\":0.27,\"fall_multiple\":2.5,\"ramp_"
-         "time\":"
-         "4000000,"
-         "\"tip_after\":1000000,\"stop_sending_within\":" +
-         std::to_string(options_.drainGraceMs * 1000) +
+         "\"obligations\":{\"ask_every\":2000000,\"cold_from\":" +
+         std::to_string(kColdFrom) + ",\"fall_multiple\":" + std::to_string(kColdMultiple) +
+         ",\"ramp_time\":" + std::to_string(options_.storeTerms.rampUs) +
+         ",\"tip_after\":" + std::to_string(options_.storeTerms.windowUs) +
+         ",\"stop_sending_within\":" + std::to_string(options_.drainGraceMs * 1000) +
          "},\"prices\":{\"probe\":0.016},\"realms\":[]}";
 }
 
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -24,7 +24,9 @@
   int descriptors = 256, deduplicationWindowMs = 1'000, maxAttempts = 4, drainGraceMs = 250;
   bool allowsParallelAttempts = true, mayCancel = true, subscribesToList = false;
   // Settings of the clients.
-  int threadsPerProcess = 4, thinkUs = 20'000;
+  int threadsPerProcess = 4, thinkUs = 20'000, writesOneIn = 0;
+  StoreTerms storeTerms = {};
+  int proxyPollMs = 10;
 };
 
 class Fleet {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,55 +10,23 @@
 #include <cstdlib>
 #include <cstring>
 #include <filesystem>
-#include <fstream>
-#include <map>
 #include <string>
 
 #include "fleet.h"
 #include "oracle.h"
+#include "report.h"
 #include "stall_watch.h"
 #include "troubles.h"
 
 namespace soak {
 namespace {
 
-constexpr std::size_t kMaxPrinted = 6;  // violations of one rule that are printed in full
-
 struct Options {
   std::string program, library, keep;
   std::uint64_t seed = 1, runs = 1;
   int seconds = 8, fronts = 0;
 };
 
-// Counts the lines with `event`, from the fronts' own checks, in the logs of the fronts, and prints
-// the first of them if `isPrinted`.
-std::size_t countLines(const std::string& folder, const char* event, bool isPrinted) {
-  std::size_t found = 0;
-  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
-    if (entry.path().extension() != ".log") continue;
-    std::ifstream log(entry.path());
-    for (std::string line; std::getline(log, line);)
-      if (line.find(event) != std::string::npos && ++found <= kMaxPrinted && isPrinted)
-        std::printf("  %s: %s\n", entry.path().filename().c_str(), line.c_str());
-  }
-  return found;
-}
-
-void printVerdict(const Verdict& verdict) {
-  std::printf(
-      "  statements=%zu served=%zu refused=%zu failed=%zu left=%zu resent=%zu excused=%zu "
-      "attempts=%zu\n",
-      verdict.statements, verdict.served, verdict.refused, verdict.failed, verdict.left,
-      verdict.resent, verdict.excused, verdict.attempts);
-  std::map<std::string, std::size_t> counts;
-  for (const Violation& v : verdict.violations) {
-    if (++counts[v.rule] > kMaxPrinted) continue;
-    std::printf("  VIOLATION %s: %s\n", v.rule.c_str(), v.what.c_str());
-    for (const Event& e : v.about) std::printf("      %s\n", describe(e).c_str());
-  }
-  for (const auto& [rule, count] : counts) std::printf("  violated %s: %zu\n", rule.c_str(), count);
-}
-
 bool runOnce(const Options& o, std::uint64_t seed) {
   char folder[] = "/tmp/reedchute-soak-XXXXXX";
   if (!mkdtemp(folder)) return false;
@@ -94,22 +62,16 @@
   oracleOptions.drainGraceUs = f.drainGraceMs * 1000,
   oracleOptions.deduplicationWindowUs = f.deduplicationWindowMs * 1000;
   oracleOptions.allowsParallelAttempts = f.allowsParallelAttempts;
+  oracleOptions.storeTerms = f.storeTerms;
   Verdict verdict = judge(readEvents(folder), oracleOptions);
   printVerdict(verdict);
-  std::size_t invariantFailures = countLines(folder, " invariant_violated ", true) +
-                                  countLines(folder, " responses_missing ", true) +
-                                  countLines(folder, " task_failed ", true);
+  std::size_t invariantFailures = printFailedChecks(folder);
   passed = passed && verdict.violations.empty() && invariantFailures == 0 && verdict.served > 0;
   std::printf("  the machine stood still %d times for over 0.1 s, at most %lld ms\n", stalls.count,
               static_cast<long long>(stalls.longestUs / 1000));
   std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), passed ? "kept" : "BROKEN");
   std::fflush(stdout);
-  if (!passed && !o.keep.empty()) {
-    std::string keptFolder = o.keep + "/" + std::to_string(seed);
-    std::filesystem::create_directories(o.keep);
-    std::filesystem::remove_all(keptFolder);
-    std::filesystem::copy(folder, keptFolder, std::filesystem::copy_options::recursive);
-  }
+  if (!passed && !o.keep.empty()) keepFolder(folder, o.keep, seed);
   std::filesystem::remove_all(folder);
   return passed;
 }
--- a/tests/soak/oracle.cpp
+++ b/tests/soak/oracle.cpp
@@ -22,9 +22,6 @@
 // A change of the endpoint list counts as received by all fronts after this time.
 constexpr std::int64_t kListPropagationUs = 6'000'000;
 
-// Slow start, as in the fronts' settings (fleet.cpp).
-constexpr double kColdFrom = 0.27, kColdMultiple = 2.5, kColdRampUs = 4e6;
-constexpr std::int64_t kColdWindowUs = 1'000'000;
 // Time that a process takes until it handles signals.
 constexpr std::int64_t kProcessStartUs = 500'000;
 
@@ -181,7 +178,7 @@
     auto processes = processes_.find(sent.front);
     if (processes == processes_.end()) return false;
     std::int64_t since = sent.at - options_.slackUs;
-    if (auto accepted = acceptedAt(sent)) since = std::min(since, *accepted);
+    if (auto accepted = acceptedAt(sent, until)) since = std::min(since, *accepted);
     for (const FrontProcess& process : processes->second)
       if (process.killed && process.to >= since && process.to <= until &&
           (process.terminatedAt == INT64_MAX || sent.at <= process.terminatedAt + kDrainUs))
@@ -209,7 +206,7 @@
     if (s.left && (behind || s.left->at < answerUntil)) return void(++verdict_.left);
     if (wasKilledMeanwhile(s.sent, s.sawEnd ? s.sawEnd->at + options_.slackUs : answerUntil))
       return void(++verdict_.excused);
-    bool accepted = acceptedAt(s.sent).has_value();
+    bool accepted = acceptedAt(s.sent, s.sawEnd ? s.sawEnd->at : answerUntil).has_value();
     if (s.sawEnd && accepted && !wasRead(s)) return void(++verdict_.resent);
     if (s.sawEnd && !accepted)
       addViolation("lost", "its connection ended without being accepted", s);
@@ -218,19 +215,30 @@
     else if (s.left || s.sent.deadline + kLateAnswerUs + options_.slackUs < events_.back().at)
       addViolation("lost", "never answered", s);
   }
-  // Returns when the statement's connection was accepted, or nothing if it wasn't.
-  std::optional<std::int64_t> acceptedAt(const Event& sent) const {
+  // Returns when the statement's connection, which ended at `until`, was accepted, or nothing if it
+  // wasn't.
+  std::optional<std::int64_t> acceptedAt(const Event& sent, std::int64_t until) const {
     auto accepts = accepts_.find({sent.front, sent.port});
     if (accepts == accepts_.end()) return std::nullopt;
     std::optional<std::int64_t> at;
     for (const Event& e : accepts->second)
-      if (e.at <= sent.at || !at) at = e.at;
+      if (e.at <= sent.at || !at || (e.at <= until && wasClosedBetween(sent, *at, sent.at)))
+        at = e.at;
     return at;
   }
-  // Whether the front had read the last byte of the statement when it closed the connection.
+  // Whether the front closed a connection from the statement's port in [from, to). A client's
+  // kernel gives the port to another connection then.
+  bool wasClosedBetween(const Event& sent, std::int64_t from, std::int64_t to) const {
+    auto closes = closes_.find({sent.front, sent.port});
+    if (closes == closes_.end()) return false;
+    return std::any_of(closes->second.begin(), closes->second.end(),
+                       [&](const Event& e) { return e.at >= from && e.at < to; });
+  }
+  // Whether the front had read the last byte of the statement when it closed the connection, whose
+  // end the client saw.
   bool wasRead(const StatementHistory& s) const {
     auto closes = closes_.find({s.sent.front, s.sent.port});
-    std::optional<std::int64_t> since = acceptedAt(s.sent);
+    std::optional<std::int64_t> since = acceptedAt(s.sent, s.sawEnd->at);
     if (closes == closes_.end() || !since) return true;
     for (const Event& e : closes->second)
       if (e.at >= *since) return e.value >= s.sent.offset;
@@ -368,8 +376,10 @@
     }
   }
   // Rule 4: in no window a cold store receives more attempts than slow start allows, relative to
-  // the load of the other members of its group. Checked only for windows in which at least two
-  // thirds of the attempts come from fronts that received the endpoint list with the start.
+  // what the stores can execute, or to the load of the other members of its group if that is less:
+  // in an overload they receive more than they can execute. Checked only for windows in which at
+  // least two thirds of the attempts come from fronts that received the endpoint list with the
+  // start.
   void checkSlowStart() {
     std::map<int, std::vector<Event>> arrivals;  // by store
     std::map<int, int> groups;
@@ -388,8 +398,7 @@
     return {std::lower_bound(all.begin(), all.end(), from, before),
             std::lower_bound(all.begin(), all.end(), to, before)};
   }
-  // Estimates the capacity of a store, which isn't known: at least the most attempts that a member
-  // of its group received in any one second.
+  // The most attempts that a member of the group received in any one window.
   double peakArrivals(int group, std::map<int, std::vector<Event>>& arrivals,
                       const std::map<int, int>& groups) const {
     std::size_t most = 0;
@@ -397,27 +406,26 @@
       if (its != group) continue;
       const std::vector<Event>& all = arrivals[store];
       for (std::int64_t at = all.empty() ? 0 : all.front().at; !all.empty() && at < all.back().at;
-           at += kColdWindowUs)
+           at += options_.storeTerms.windowUs)
         if (!isInSlowStart(store, at))
-          most = std::max(most, within(all, at, at + kColdWindowUs).size());
+          most = std::max(most, within(all, at, at + options_.storeTerms.windowUs).size());
     }
     return static_cast<double>(most);
   }
   bool isInSlowStart(int store, std::int64_t at) const {
     return std::any_of(events_.begin(), events_.end(), [&](const Event& e) {
       return e.kind == Kind::storeStarted && e.store == store && e.value == 0 &&
-             e.at <= at + kColdWindowUs && static_cast<double>(at - e.at) < kColdRampUs;
+             e.at <= at + options_.storeTerms.windowUs && at - e.at < options_.storeTerms.rampUs;
     });
   }
   void checkColdStore(const Event& start, std::map<int, std::vector<Event>>& arrivals,
                       const std::map<int, int>& groups) {
-    double peak = peakArrivals(start.code, arrivals, groups);
-    for (std::int64_t age = 0; static_cast<double>(age) < kColdRampUs; age += kColdWindowUs / 4) {
-      std::int64_t from = start.at + age, to = from + kColdWindowUs;
-      double warmth = kColdFrom +
-                      (1 - kColdFrom) * std::min(1.0, static_cast<double>(age) / kColdRampUs);
-      double n = kColdMultiple * warmth * peak;
-      double most = n < 30 ? n + 3 * std::sqrt(n) + 3 : n + 2 * std::sqrt(n) + 2;
+    const StoreTerms& terms = options_.storeTerms;
+    double warmLoad = std::min(peakArrivals(start.code, arrivals, groups),
+                               terms.capacityInWindow());
+    for (std::int64_t age = 0; age < terms.rampUs; age += terms.windowUs / 4) {
+      std::int64_t from = start.at + age, to = from + terms.windowUs;
+      double most = mostInWindow(warmLoad, terms.warmth(age));
       std::vector<Event> got = within(arrivals[start.store], from, to);
       auto fromNotifiedFronts = std::count_if(got.begin(), got.end(), [&](const Event& e) {
         return listReceivedAt(e.front, e.at, start.offset) <= e.at;
@@ -427,7 +435,7 @@
         continue;
       verdict_.violations.push_back({"slow start",
                                      "store " + std::to_string(start.store) + " got " +
-                                         std::to_string(got.size()) + " in the second " + ms(age) +
+                                         std::to_string(got.size()) + " in the window " + ms(age) +
                                          " after its start, at most " + std::to_string(most),
                                      {start}});
       return;
--- a/tests/soak/oracle.h
+++ b/tests/soak/oracle.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "record.h"
+#include "slow_start_terms.h"
 
 namespace soak {
 
@@ -16,6 +17,7 @@
   std::int64_t slackUs = 60'000;
   // Off if wall clocks were stepped: positions of stores are times of the wall clock.
   bool checksStaleness = true;
+  StoreTerms storeTerms = {};
 };
 
 struct Violation {
--- a/tests/soak/oracle_test.cpp
+++ b/tests/soak/oracle_test.cpp
@@ -120,7 +120,26 @@
   printViolations("read, and the connection ended", kAny, closeUnanswered);
   printViolations("the same, not read", kAny,
                   [&](Events& e) { closeUnanswered(e), first(e, Kind::frontClosed).value = 50; });
-  printViolations("the same, its front killed", kAny, [&](Events& e) {
+  // The front accepted it after it was sent, and had read more of the connection before.
+  auto useClosedPortAgain = [&](Events& e) {
+    closeUnanswered(e), first(e, Kind::frontAccepted).at = at(-200);
+    e.push_back(
+        {.at = at(-100), .kind = Kind::frontClosed, .front = 0, .port = kClientPort, .value = 400});
+    e.push_back({.at = at(1), .kind = Kind::frontAccepted, .front = 0, .port = kClientPort});
+  };
+  printViolations("the same, read, on a port used before", kAny, useClosedPortAgain);
+  printViolations("the same, not read, on a port used before", kAny, [&](Events& e) {
+    useClosedPortAgain(e), first(e, Kind::frontClosed).value = 50;
+  });
+  printViolations("closed before it was sent, and the port used again later", kAny, [&](Events& e) {
+    closeUnanswered(e),
+        first(e, Kind::frontClosed) = {
+            .at = at(-5), .kind = Kind::frontClosed, .front = 0, .port = kClientPort, .value = 50};
+    e.push_back({.at = at(500), .kind = Kind::frontAccepted, .front = 0, .port = kClientPort});
+    e.push_back(
+        {.at = at(900), .kind = Kind::frontClosed, .front = 0, .port = kClientPort, .value = 400});
+  });
+  printViolations("read, and its front killed", kAny, [&](Events& e) {
     closeUnanswered(e), removeAll(e, Kind::frontTerminated);
     e.push_back({.at = at(18), .kind = Kind::frontKilled, .front = 0});
     first(e, Kind::frontExited).at = at(18);
@@ -207,4 +226,19 @@
                    .front = 0,
                    .port = kStorePort + 1});
   });
+  // The warm member gets twice as many, but can execute only 1000 in a second.
+  printViolations("a cold store that is overrun with its whole group", kAny, [](Events& e) {
+    e.push_back({.at = at(500),
+                 .kind = Kind::storeStarted,
+                 .store = 1,
+                 .port = kStorePort + 1,
+                 .value = 0,
+                 .offset = 1});
+    for (int k = 0; k < 3000; ++k)
+      e.push_back({.at = at(600) + k * 100,
+                   .kind = Kind::attemptWhole,
+                   .statement = 1,
+                   .front = 0,
+                   .port = kStorePort + (k % 3 == 0)});
+  });
 }
--- a/tests/soak/peers.h
+++ b/tests/soak/peers.h
@@ -34,12 +34,14 @@
 
 struct StoreOptions {
   int index = 0;
+  bool startsCold = false;
   std::string events;
 };
 [[noreturn]] void runStore(Control& control, const StoreOptions& options);
 
 struct ProxyOptions {
   std::vector<std::pair<int, int>> listeners;  // store index and listening socket
+  int pollMs = 10;  // how soon a fault begins on a connection without traffic
 };
 [[noreturn]] void runProxy(Control& control, const ProxyOptions& options);
 
@@ -56,6 +58,8 @@
 
 struct ClientOptions {
   int number = 0, threads = 4, fronts = 1;
+  // One statement in so many is a write, the others are reads; 0: all workloads are as frequent.
+  int writesOneIn = 0;
   std::uint64_t seed = 0;
   std::string events;
 };
--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -14,18 +14,17 @@
 namespace soak {
 namespace {
 
-constexpr int kPollMs = 10;
 constexpr int kConnectMs = 500;
 
 class ProxiedConnection {
  public:
-  ProxiedConnection(StoreControl& control, int client)
-      : control_(control), client_(client), resets_(control.resetAll) {}
+  ProxiedConnection(StoreControl& control, int client, int pollMs)
+      : control_(control), client_(client), pollMs_(pollMs), resets_(control.resetAll) {}
 
   void run() {
     if (int delay = control_.connectDelayMs; delay > 0)
       usleep(static_cast<useconds_t>(delay) * 1000);
-    while (control_.blackhole) usleep(kPollMs * 1000);
+    while (control_.blackhole) usleep(static_cast<useconds_t>(pollMs_) * 1000);
     int port = control_.backendPort;
     store_ = port > 0 ? connectTo("127.0.0.1", port, kConnectMs) : -1;
     if (store_ < 0) return closeWithReset(client_);
@@ -39,13 +38,13 @@
   bool forwardNext() {
     if (resets_ != control_.resetAll) return closeBoth(true);
     if (control_.blackhole) {
-      usleep(kPollMs * 1000);
+      usleep(static_cast<useconds_t>(pollMs_) * 1000);
       return true;
     }
     int idle = control_.closeIdleMs;
     if (idle > 0 && monotonicUs() - lastByte_ > idle * 1000) return closeBoth(false);
     pollfd ends[2] = {{client_, POLLIN, 0}, {store_, POLLIN, 0}};
-    if (poll(ends, 2, kPollMs) <= 0) return true;
+    if (poll(ends, 2, pollMs_) <= 0) return true;
     if (control_.blackhole) return true;
     if (ends[0].revents && !forward(client_, store_)) return false;
     return !ends[1].revents || forward(store_, client_);
@@ -70,7 +69,7 @@
   }
 
   StoreControl& control_;
-  int client_, store_ = -1, resets_;
+  int client_, pollMs_, store_ = -1, resets_;
   std::int64_t lastByte_ = 0;
   std::minstd_rand random_{static_cast<unsigned>(monotonicUs())};
 };
@@ -81,12 +80,12 @@
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   std::vector<std::thread> accepting;
   for (auto [store, listener] : options.listeners)
-    accepting.emplace_back([&control, store = store, listener = listener] {
+    accepting.emplace_back([&control, store = store, listener = listener, pollMs = options.pollMs] {
       for (;;) {
         int client = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
         if (client >= 0)
-          std::thread([&control, store, client] {
-            ProxiedConnection(control.stores[store], client).run();
+          std::thread([&control, store, client, pollMs] {
+            ProxiedConnection(control.stores[store], client, pollMs).run();
           }).detach();
       }
     });
--- a/tests/soak/record.cpp
+++ b/tests/soak/record.cpp
@@ -16,11 +16,11 @@
 namespace {
 
 constexpr std::array kNames = {
-    "client_sent",    "client_answered", "client_left",   "client_saw_end",   "client_stopped",
-    "front_accepted", "front_closed",    "attempt_began", "attempt_whole",    "list_told",
-    "store_received", "store_ran",       "store_replied", "store_started",    "store_killed",
-    "store_draining", "store_primary",   "front_started", "front_terminated", "front_killed",
-    "front_exited",   "trouble"};
+    "client_sent",    "client_answered", "client_left",   "client_saw_end", "client_stopped",
+    "front_accepted", "front_closed",    "attempt_began", "attempt_whole",  "list_told",
+    "store_received", "store_ran",       "store_replied", "store_started",  "store_killed",
+    "store_draining", "store_primary",   "store_failed",  "front_started",  "front_terminated",
+    "front_killed",   "front_exited",    "trouble"};
 
 std::int64_t readClock(clockid_t clock) {
   timespec now{};
--- a/tests/soak/record.h
+++ b/tests/soak/record.h
@@ -38,6 +38,7 @@
   storeKilled,
   storeDraining,  // value: the endpoint list version that contains the drain
   storePrimary,
+  storeFailed,  // a cold store got more than it bears and ended; value: statements in its window
   frontStarted,
   frontTerminated,
   frontKilled,  // code: 1 if it had not exited in time after SIGTERM
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -4,9 +4,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
+#include <deque>
+#include <mutex>
 #include <random>
+#include <semaphore>
 #include <thread>
 
 #include "peers.h"
@@ -18,7 +23,12 @@
 class Store {
  public:
   Store(Control& control, const StoreOptions& options)
-      : control_(control.stores[options.index]), index_(options.index), recorder_(options.events) {}
+      : control_(control.stores[options.index]),
+        terms_(control.storeTerms),
+        index_(options.index),
+        startedAt_(options.startsCold ? monotonicUs() : monotonicUs() - terms_.rampUs),
+        workers_(terms_.workers),
+        recorder_(options.events) {}
 
   [[noreturn]] void run() {
     int port = 0, listener = listenOn("127.0.0.1", port);
@@ -79,12 +89,14 @@
     std::int64_t position = positionUs();
     bool primary = control_.primary, write = text.rfind("INSERT", 0) == 0;
     record(Kind::storeReceived, id, Answer::served, primary ? 0 : wallUs() - position);
+    failIfOverrun();
     while (control_.hangs) usleep(2'000);
     if (write && !primary)
       return reply(socket, id, Answer::miss, errorMessage("25006", "no primary"));
     if (oneIn(control_.refusesOneIn))
       return reply(socket, id, Answer::refused, errorMessage("53300", "full"));
-    usleep(static_cast<useconds_t>(control_.serviceUs.load()));
+    if (!executeOnWorker())
+      return reply(socket, id, Answer::refused, errorMessage("53300", "full"));
     record(Kind::storeRan, id);
     if (oneIn(control_.spoilsOneIn)) {
       record(Kind::storeReplied, id, Answer::garbage);
@@ -98,13 +110,52 @@
     return reply(socket, id, Answer::served, row);
   }
 
+  // Waits for a worker and keeps it busy for the service time, longer while the store is cold.
+  // Returns false if too many statements wait already.
+  bool executeOnWorker() {
+    if (++queued_ > terms_.maxQueued) {
+      --queued_;
+      return false;
+    }
+    workers_.acquire();
+    --queued_;
+    double service = control_.serviceUs / terms_.warmth(monotonicUs() - startedAt_);
+    usleep(static_cast<useconds_t>(service));
+    workers_.release();
+    return true;
+  }
+
+  // Ends a cold store that got more statements in its window than it bears.
+  void failIfOverrun() {
+    std::int64_t now = monotonicUs();
+    if (!terms_.fails || now - startedAt_ >= terms_.rampUs) return;
+    std::lock_guard lock(arrivalsMutex_);
+    arrivals_.push_back(now);
+    while (arrivals_.front() <= now - terms_.windowUs) arrivals_.pop_front();
+    std::int64_t windowAge = std::max<std::int64_t>(0, now - terms_.windowUs - startedAt_);
+    double most = mostInWindow(terms_.capacityInWindow(), terms_.warmth(windowAge));
+    auto received = static_cast<std::int64_t>(arrivals_.size());
+    if (static_cast<double>(received) <= most) return;
+    record(Kind::storeFailed, 0, Answer::served, received);
+    control_.backendPort = 0;
+    _exit(0);
+  }
+
   bool reply(int socket, std::uint64_t id, Answer code, const std::string& bytes) {
     record(Kind::storeReplied, id, code);
     return writeAll(socket, bytes + role() + readyMessage());
   }
 
+  static constexpr std::ptrdiff_t kMaxWorkers = 4096;
+
   StoreControl& control_;
+  const StoreTerms terms_;
   int index_;
+  std::int64_t startedAt_;
+  std::counting_semaphore<kMaxWorkers> workers_;
+  std::atomic<int> queued_{0};
+  std::mutex arrivalsMutex_;
+  std::deque<std::int64_t> arrivals_;  // of the present window
   Recorder recorder_;
 };
 
