--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -8,6 +8,7 @@
 #include <cstdarg>
 #include <cstdio>
 #include <cstring>
+#include <utility>
 
 namespace reedchute::log {
 namespace {
@@ -58,6 +59,18 @@
     if (static_cast<unsigned char>(*text) < ' ') *text = '?';
 }
 
+[[gnu::format(printf, 2, 0)]] void write(const char* event, const char* format, va_list args,
+                                         std::uint64_t suppressed) {
+  char text[kMaxLineLength];
+  std::vsnprintf(text, sizeof text, format, args);
+  replaceControlCharacters(text);
+  if (suppressed > 0)
+    std::fprintf(stderr, "%lld %s %s left_out=%llu\n", logTimeMs(), event, text,
+                 static_cast<unsigned long long>(suppressed));
+  else
+    std::fprintf(stderr, "%lld %s %s\n", logTimeMs(), event, text);
+}
+
 }  // namespace
 
 void setNonBlocking() {
@@ -75,18 +88,17 @@
 void line(const char* event, const char* format, ...) {
   EventLimiter& limiter = limiterOf(event);
   if (!limiter.admit(logTime.us / 1'000'000)) return;
-  char text[kMaxLineLength];
   va_list args;
   va_start(args, format);
-  std::vsnprintf(text, sizeof text, format, args);
+  write(event, format, args, std::exchange(limiter.suppressed, 0));
+  va_end(args);
+}
+
+void unlimitedLine(const char* event, const char* format, ...) {
+  va_list args;
+  va_start(args, format);
+  write(event, format, args, 0);
   va_end(args);
-  replaceControlCharacters(text);
-  if (limiter.suppressed > 0)
-    std::fprintf(stderr, "%lld %s %s left_out=%llu\n", logTimeMs(), event, text,
-                 static_cast<unsigned long long>(limiter.suppressed));
-  else
-    std::fprintf(stderr, "%lld %s %s\n", logTimeMs(), event, text);
-  limiter.suppressed = 0;
 }
 
 void flushSuppressed() {
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -21,6 +21,9 @@
 // many were suppressed. `event` must be a string literal, because the pointer is kept.
 [[gnu::format(printf, 2, 3)]] void line(const char* event, const char* format, ...);
 
+// The same for a line that must not be missing from the log: the limit doesn't apply to it.
+[[gnu::format(printf, 2, 3)]] void unlimitedLine(const char* event, const char* format, ...);
+
 // Converts a count for %llu in a format.
 inline unsigned long long printable(std::uint64_t count) {
   return count;
--- a/src/proxy/endpoint_registry.cpp
+++ b/src/proxy/endpoint_registry.cpp
@@ -50,9 +50,16 @@
   setPoolAddresses(info.store, endpoint);
   engine_.addEndpoint(info, now);
   guard_.onEndpointListed(info.store, info.group, info.zone, info.listed, now);
-  log::line("endpoint", "store=%d id=%s group=%lld state=%s primary=%d started_ms=%lld", info.store,
-            endpoint.id.c_str(), static_cast<long long>(endpoint.group), nameOf(endpoint.status),
-            endpoint.isPrimary, static_cast<long long>(endpoint.startedMs));
+  logEndpoint(info, endpoint);
+}
+
+// An entry with a start that is new to this process is written despite the log's limit: which
+// process knew of it, and when, can't be told from elsewhere.
+void EndpointRegistry::logEndpoint(const EndpointInfo& info, const discovery::Endpoint& endpoint) {
+  auto write = info.started ? log::unlimitedLine : log::line;
+  write("endpoint", "store=%d id=%s group=%lld state=%s primary=%d started_ms=%lld", info.store,
+        endpoint.id.c_str(), static_cast<long long>(endpoint.group), nameOf(endpoint.status),
+        endpoint.isPrimary, static_cast<long long>(endpoint.startedMs));
 }
 
 void EndpointRegistry::setPoolAddresses(int store, const discovery::Endpoint& endpoint) {
--- a/src/proxy/endpoint_registry.h
+++ b/src/proxy/endpoint_registry.h
@@ -58,6 +58,7 @@
 
  private:
   void applyEntry(const discovery::Endpoint& endpoint, TimePoint now);
+  static void logEndpoint(const EndpointInfo& info, const discovery::Endpoint& endpoint);
   void setPoolAddresses(int store, const discovery::Endpoint& endpoint);
   void drainUnavailableStores(const discovery::EndpointList& list, TimePoint now);
   std::optional<TimePoint> recordListedStart(int store, WallTime listed);
