Slow start: a cold store's budget follows what warm stores complete, not what is asked

Cause: what a warm store takes was computed from the statements that arrive; a client's repeat and a rejected statement counted like one that is served. In an overload arrivals have no bound, so the sum of all budgets had none. Class: a limit derived from the quantity that it is there to limit. Evidence: 36 processes were each allowed 2.5 statements a second at a warmth of 0.44, 90 together, where N was 44 (coldStoresInOverload).

Now: module throughput measures the work that a warm member completes for this process; all processes together complete no more than its capacity. What is earned in a window and what is held from before come to this process's share; unused budget expires after twice the mean time of holding; the rate is the larger of that at the start and the present one, as the largest ever measured is raised by chance; work is measured while stores are calm; a read as heavy as a window's variation goes to a warm store; a second start forgives nothing.

Log and metrics: slow_start_began, slow_start and slow_start_ended tell the evidence of a start, what may be sent and what was sent; counters have cold_allowed and cold_sent.

--- a/src/decision/engine.cpp
+++ b/src/decision/engine.cpp
@@ -11,9 +11,10 @@
 
 // Share of the SLO time that a client's retry is assumed to have waited before.
 constexpr double kRetryElapsedShare = 0.5;
-constexpr double kFreshReadDelay = 4;  // ticks; time for the log to reach a replica
-constexpr double kBusyWakePeriod = 2;  // ticks
-constexpr double kIdleWakePeriod = 8;  // ticks
+constexpr double kFreshReadDelay = 4;       // ticks; time for the log to reach a replica
+constexpr double kThroughputInterval = 10;  // ticks
+constexpr double kBusyWakePeriod = 2;       // ticks
+constexpr double kIdleWakePeriod = 8;       // ticks
 
 // Returns the settings with `maxPollInterval` raised to the smallest SLO time.
 EngineSettings validateSettings(EngineSettings settings) {
@@ -90,8 +91,8 @@
     stores_.limits.delayFirstSend(store, stores_.statistics.initialTime() * gaps, now);
   }
   stores_.endpoints.addEndpoint(endpoint);
-  bool hasStarted = endpoint.started &&
-                    stores_.slowStart.onListedStart(store, *endpoint.started, random_, now);
+  bool hasStarted = endpoint.started && stores_.slowStart.onListedStart(store, *endpoint.started,
+                                                                        drawSlowStartDebt(), now);
   if (hasStarted) {
     stores_.health.onRestarted(store);
     stores_.health.readmit(store);
@@ -130,20 +131,25 @@
   if (!regainsTraffic) return;
   for (int store = 0; store < stores_.endpoints.size(); ++store) {
     if (stores_.endpoints.zone(store) != zone || stores_.endpoints.group(store) < 0) continue;
-    onStoreStarted(store, now);
+    onStoreStarted(store, StartEvidence::zone, now);
     stores_.health.readmit(store);
   }
 }
 
 // ---- observations of stores ----
 
-void DecisionEngine::onStoreStarted(int store, TimePoint now) {
-  stores_.slowStart.onObservedStart(store, random_, now);
+double DecisionEngine::drawSlowStartDebt() {
+  double work = stores_.statistics.drawRelativeWork(random_);
+  return drawUnit(random_) * work;
+}
+
+void DecisionEngine::onStoreStarted(int store, StartEvidence evidence, TimePoint now) {
+  stores_.slowStart.onObservedStart(store, evidence, drawSlowStartDebt(), now);
   stores_.health.onRestarted(store);
 }
 
-void DecisionEngine::onStoreResponsive(int store, TimePoint now) {
-  if (stores_.health.hasRestarted(store)) onStoreStarted(store, now);
+void DecisionEngine::onStoreResponsive(int store, StartEvidence evidence, TimePoint now) {
+  if (stores_.health.hasRestarted(store)) onStoreStarted(store, evidence, now);
   stores_.health.readmit(store);
 }
 
@@ -183,7 +189,8 @@
     stores_.primaries.onRestarted(group, store, now);
     stores_.freshness.onRestarted(store, probes_.sentAt(store));
   }
-  if (stores_.health.hasRefusedConnection(store)) onStoreResponsive(store, now);
+  if (stores_.health.hasRefusedConnection(store))
+    onStoreResponsive(store, StartEvidence::probe, now);
   learnFromReport(store, report, now);
 }
 
@@ -220,8 +227,6 @@
     statement.notBefore = now + settings_.tick * kFreshReadDelay;
   admission_.countTenant(statement, now);
   stores_.statistics.onStatementArrived(statement.workload);
-  Duration work = stores_.statistics.leastTime(statement.workload);
-  stores_.slowStart.onStatementArrived(statement.group, work, now);
   probes_.onStatementArrived(statement, arrival.repeated, now);
   retries_.onStatementArrived();
   openStatements_.push_back(id);
@@ -266,7 +271,7 @@
                                       const AttemptResult& result, TimePoint now) {
   int store = attempt.store;
   const Workload& workload = settings_.workloads[statement.workload];
-  if (showsResponsiveStore(result.outcome)) onStoreResponsive(store, now);
+  if (showsResponsiveStore(result.outcome)) onStoreResponsive(store, StartEvidence::response, now);
   OutlierDetection::AttemptContext context{
       .zone = stores_.endpoints.zone(store),
       .sent = attempt.sent,
@@ -278,6 +283,9 @@
   if (result.outcome != AttemptOutcome::ok) return;
   stores_.limits.onSuccess(store, attempt, result.elapsed, workload.slo, now);
   stores_.statistics.onSuccess(statement.workload, result.elapsed);
+  if (stores_.isUsable(store, now))
+    stores_.throughput.onCompleted(statement.group, stores_.slowStart.isWarm(store, now),
+                                   stores_.statistics.relativeWork(statement.workload));
   // A write is committed before its response is written, so `now` is no earlier than its commit.
   if (workload.level == Level::write && !settings_.readsCarrySessionToken)
     stores_.freshness.onCommit(statement.session, result.position.value_or(now));
@@ -321,16 +329,51 @@
   }
 }
 
+std::vector<SlowStartStatus> DecisionEngine::slowStarts(TimePoint now) const {
+  std::vector<SlowStartStatus> cold;
+  for (int store = 0; store < stores_.endpoints.size(); ++store) {
+    if (stores_.endpoints.group(store) < 0) continue;
+    if (auto status = stores_.slowStart.status(store, now)) cold.push_back(*status);
+  }
+  return cold;
+}
+
 // ---- the round ----
 
+void DecisionEngine::measureThroughput(TimePoint now) {
+  if (now - throughputMeasuredAt_ < settings_.tick * kThroughputInterval) return;
+  throughputMeasuredAt_ = now;
+  for (int group = 0; group < stores_.endpoints.groupCount(); ++group) {
+    AvailableMembers available;
+    for (int store : stores_.endpoints.members(group)) {
+      if (!stores_.isUsable(store, now)) continue;
+      if (stores_.slowStart.isWarm(store, now))
+        available.warm += 1;
+      else
+        available.coldWarmths += stores_.slowStart.warmth(store, now);
+    }
+    stores_.throughput.advance(group, available, now);
+  }
+}
+
+// The weight of a store is a measure of its size; where it isn't, a higher one must not raise its
+// budget.
+void DecisionEngine::refillBudget(int store, TimePoint now) {
+  int group = stores_.endpoints.group(store);
+  double weights = 0;
+  for (int member : stores_.endpoints.members(group)) weights += stores_.endpoints.weight(member);
+  double meanWeight = weights / stores_.endpoints.groupSize(group);
+  double size = std::min(1.0, stores_.endpoints.weight(store) / meanWeight);
+  double perMember = stores_.throughput.perMember(group);
+  double groupRate = perMember * stores_.endpoints.groupSize(group);
+  stores_.slowStart.refill(store, perMember * size, groupRate, now);
+}
+
 void DecisionEngine::refreshStores(TimePoint now) {
-  double meanWork = stores_.statistics.meanWork();
+  measureThroughput(now);
   for (int store = 0; store < stores_.endpoints.size(); ++store) {
-    int group = stores_.endpoints.group(store);
-    if (group >= 0 && !stores_.slowStart.isWarm(store, now)) {
-      int groupSize = stores_.endpoints.groupSize(group);
-      stores_.slowStart.refill(store, group, groupSize, meanWork, now);
-    }
+    bool isListed = stores_.endpoints.group(store) >= 0;
+    if (isListed && !stores_.slowStart.isWarm(store, now)) refillBudget(store, now);
     double faded = stores_.health.decay(store, now);
     stores_.limits.recover(store, faded, now);
   }
--- a/src/decision/engine.h
+++ b/src/decision/engine.h
@@ -67,14 +67,18 @@
   // whose share was 0 count as started at `now`.
   void setZoneShare(int zone, double share, bool mayProbe, TimePoint now);
 
+  // The slow starts of all cold stores, ordered by store.
+  std::vector<SlowStartStatus> slowStarts(TimePoint now) const;
+
   // Ends a round: called once, after the events of the round.
   void decide(TimePoint now, DecisionSink& sink);
 
  private:
   void resetStore(int store, TimePoint now);
   void ensureGroup(int group);
-  void onStoreStarted(int store, TimePoint now);
-  void onStoreResponsive(int store, TimePoint now);
+  double drawSlowStartDebt();
+  void onStoreStarted(int store, StartEvidence evidence, TimePoint now);
+  void onStoreResponsive(int store, StartEvidence evidence, TimePoint now);
   void observeRole(int store, const RoleObservation& observation, TimePoint now);
   void observePosition(int store, const PositionReport& report, Duration reportAge, TimePoint now);
   void learnFromAttempt(const StatementState& statement, const Attempt& attempt,
@@ -83,6 +87,8 @@
                          const AttemptResult& result, TimePoint now);
   void learnFromReport(int store, const ReplicaReport& report, TimePoint now);
   void continueStatement(StatementState& statement, const AttemptResult& result, TimePoint now);
+  void measureThroughput(TimePoint now);
+  void refillBudget(int store, TimePoint now);
   void refreshStores(TimePoint now);
   void releaseIdleConnections(const Round& round);
   void scheduleWake(const Round& round);
@@ -99,6 +105,7 @@
   std::vector<int> openStatements_;      // ids of those without a final response, oldest first
   std::vector<int> endedAttemptStores_;  // stores at which attempts ended in this round
   TimePoint wakeAt_ = kNever;
+  TimePoint throughputMeasuredAt_ = kNever;
 };
 
 }  // namespace reedchute
--- a/src/decision/replica_selection.cpp
+++ b/src/decision/replica_selection.cpp
@@ -49,7 +49,7 @@
 double ReplicaSelection::weight(int store, const StatementState& statement, TimePoint now) const {
   const Workload& workload = settings_.workloads[statement.workload];
   double weight = stores_.endpoints.weight(store) * lagWeight(store, workload, now) *
-                  stores_.slowStart.warmth(store, now);
+                  stores_.slowStart.warmth(store, now) * stores_.slowStart.preference(store, now);
   if (workload.level == Level::bounded) {
     TimePoint readmittedAt = stores_.freshness.readmittedAt(store, statement.workload);
     double ramp = (now - readmittedAt) / (stores_.statistics.smallestSlo() * kReadmissionRamp);
@@ -93,7 +93,10 @@
   if (stores_.statistics.isLongRead(statement.workload)) request.limitShare = kLongReadShare;
   bool isPrimary = store == stores_.primaries.primary(statement.group);
   if (isPrimary && !request.mustBeCurrent) request.limitShare = kPrimaryReadShare;
-  return stores_.limits.hasCapacity(store, request, now) && stores_.slowStart.hasBudget(store, now);
+  if (!stores_.limits.hasCapacity(store, request, now)) return false;
+  bool hasAlternative = !request.mustBeCurrent && stores_.throughput.hasWarmMember(statement.group);
+  double work = stores_.statistics.relativeWork(statement.workload);
+  return stores_.slowStart.mayReceive(store, work, hasAlternative, now);
 }
 
 // False while the primary is cold or its limit was cut, because writes have priority there. A
--- a/src/decision/statement_actions.cpp
+++ b/src/decision/statement_actions.cpp
@@ -31,8 +31,7 @@
                                 .isPaced = stores_.limits.isPaced(store, now)});
   const WorkloadStatistics& statistics = stores_.statistics;
   stores_.limits.onSent(store, statistics.typicalTime(statement.workload), now);
-  double work = statistics.leastTime(statement.workload).seconds() / statistics.meanWork();
-  stores_.slowStart.onSent(store, work, now);
+  stores_.slowStart.onSent(store, statistics.relativeWork(statement.workload), now);
   stores_.health.onSent(store, now);
   round.sink.send(statement.id, store, statement.giveUpAt, sendBy);
 }
--- a/src/decision/store_modules.cpp
+++ b/src/decision/store_modules.cpp
@@ -5,7 +5,8 @@
 namespace reedchute {
 namespace {
 
-constexpr double kRateMemory = 0.25;  // of the warm-up time
+constexpr double kRateMemory = 0.25;     // of the warm-up time
+constexpr double kThroughputMemory = 2;  // rate memories
 
 }  // namespace
 
@@ -17,7 +18,9 @@
       primaries(settings),
       limits(settings),
       health(settings, statistics.smallestSlo(), limits.isSharedByManyProxies()),
-      slowStart(settings, clockSkew, rateMemory) {}
+      slowStart(settings, clockSkew),
+      throughput(rateMemory * kThroughputMemory,
+                 std::max(settings.coldOverloadWindow, statistics.smallestSlo())) {}
 
 void StoreModules::reset(int store, TimePoint now) {
   endpoints.reset(store);
@@ -31,7 +34,7 @@
 void StoreModules::ensureGroup(int group) {
   endpoints.ensureGroup(group);
   primaries.ensureGroup(group);
-  slowStart.ensureGroup(group);
+  throughput.ensureGroup(group);
 }
 
 void StoreModules::ensureZone(int zone) {
--- a/src/decision/store_modules.h
+++ b/src/decision/store_modules.h
@@ -11,6 +11,7 @@
 #include "decision/outlier_detection.h"
 #include "decision/primary_tracker.h"
 #include "decision/slow_start.h"
+#include "decision/throughput.h"
 #include "decision/types.h"
 #include "decision/workload_statistics.h"
 
@@ -43,6 +44,7 @@
   OutlierDetection health;
   ClockSkew clockSkew;
   SlowStart slowStart;
+  Throughput throughput;
 };
 
 }  // namespace reedchute
--- a/src/decision/types.h
+++ b/src/decision/types.h
@@ -98,6 +98,23 @@
   std::optional<TimePoint> started;  // start of the store's process, if listed
 };
 
+// How this process learned that a store has started: from the endpoint list, from the answer to a
+// probe or to a statement after the store was unreachable, or because its zone gets traffic again.
+enum class StartEvidence { listed, probe, response, zone };
+
+// The slow start of a cold store, as this process sees it.
+struct SlowStartStatus {
+  int store = -1;
+  StartEvidence evidence = StartEvidence::listed;
+  TimePoint startedAt;
+  int starts = 0;               // of the store that this process has learned of
+  double warmth = 0;            // fraction of its usual traffic that the store may get
+  double allowedPerSecond = 0;  // statements of mean work that this process may send now
+  double budget = 0;            // statements that it may send at once; negative: it owes them
+  double allowed = 0;           // statements that it could have sent since the start
+  double sent = 0;              // statements that it has sent since the start
+};
+
 // A store's report of itself: its replication log position, and whether it is the primary.
 struct ReplicaReport {
   std::optional<TimePoint> position;
--- a/src/decision/workload_statistics.cpp
+++ b/src/decision/workload_statistics.cpp
@@ -5,10 +5,12 @@
 namespace reedchute {
 namespace {
 
-constexpr double kInitialTime = 0.25;  // fraction of the SLO time, until responses are received
+constexpr double kSmallestTime = 1e-6;  // seconds
+constexpr double kInitialTime = 0.25;   // fraction of the SLO time, until responses are received
 constexpr double kTypicalWeight = 0.1 * 0.2;  // weight of one response in the typical time
-constexpr double kWorkWeight = 0.1;           // weight of one statement in the mean work
-constexpr double kLeastTimeDrift = 0.01;  // fraction by which the least time rises at each response
+constexpr double kMeanStatements = 100;       // over which the mean work is taken
+constexpr double kRecentWeight = 0.1;         // weight of one response in the recent time
+constexpr double kCalmTimeDrift = 0.002;      // rise of the calm time at each response
 constexpr double kLongReadStoreMargin = 1.5;  // stores for each member's worth of long-read work
 
 }  // namespace
@@ -21,7 +23,8 @@
     if (workload.level == Level::bounded)
       smallestBound_ = std::min(smallestBound_, workload.stalenessBound);
     typicalTime_.push_back(workload.slo * kInitialTime);
-    leastTime_.push_back(workload.slo * kInitialTime);
+    double initialTime = workload.slo.seconds() * kInitialTime;
+    work_.push_back({.recentTime = initialTime, .calmTime = initialTime});
   }
   meanWork_ = smallestSlo_.seconds() * kInitialTime;
 }
@@ -50,15 +53,45 @@
   double work = typicalTime_[workload].seconds();
   allWork_ += work;
   if (isLongRead(workload)) longReadWork_ += work;
-  meanWork_ += (leastTime_[workload].seconds() - meanWork_) * kWorkWeight;
 }
 
 void WorkloadStatistics::onSuccess(int workload, Duration elapsed) {
   Duration& typical = typicalTime_[workload];
   Duration slo = settings_.workloads[workload].slo;
   typical = typical + (std::min(elapsed, slo) - typical) * kTypicalWeight;
-  Duration& least = leastTime_[workload];
-  least = std::min(least * (1 + kLeastTimeDrift), elapsed * 0.5 + least * 0.5);
+  measureWork(workload, elapsed);
+  completed_ = std::min(completed_ + 1, kMeanStatements);
+  meanWork_ += (work_[workload].calmTime - meanWork_) / completed_;
+  for (Work& work : work_) work.share *= 1 - 1 / completed_;
+  work_[workload].share += 1 / completed_;
+}
+
+double WorkloadStatistics::drawRelativeWork(RandomSource& random) const {
+  double total = 0;
+  for (const Work& work : work_) total += work.share * work.calmTime;
+  double left = drawUnit(random) * total;
+  for (const Work& work : work_) {
+    left -= work.share * work.calmTime;
+    if (left < 0) return work.calmTime / meanWork_;
+  }
+  return 1;
+}
+
+// Until a workload's first response, its work relative to the others is that of its SLO time.
+void WorkloadStatistics::measureWork(int workload, Duration elapsed) {
+  double seconds = std::max(elapsed.seconds(), kSmallestTime);
+  Work& work = work_[workload];
+  if (!work.isMeasured) {
+    bool isFirst = std::none_of(work_.begin(), work_.end(),
+                                [](const Work& other) { return other.isMeasured; });
+    double scale = isFirst ? seconds / work.calmTime : 1;
+    for (Work& other : work_) other.calmTime *= scale;
+    work.recentTime = work.calmTime = seconds;
+    work.isMeasured = true;
+    return;
+  }
+  work.recentTime += (seconds - work.recentTime) * kRecentWeight;
+  work.calmTime = std::min(work.calmTime * (1 + kCalmTimeDrift), work.recentTime);
 }
 
 }  // namespace reedchute
--- a/src/proxy/counters_log.cpp
+++ b/src/proxy/counters_log.cpp
@@ -53,7 +53,7 @@
       "taken=%llu open=%zu sessions=%zu store_connections=%zu stores=%zu gone=%zu completed=%llu "
       "rejected=%llu "
       "aborted=%llu executions=%llu probes=%llu connects=%llu answered=%llu client_gone=%llu "
-      "late=%llu",
+      "late=%llu cold_allowed=%.2f cold_sent=%.2f",
       log::printable(requests.received), sources_.statements.openCount(),
       sessionCount(sources_.clients), sources_.pools.connectionCount(), sources_.ids.stores.size(),
       sources_.endpoints.absentCount(), log::printable(responses.completed),
@@ -61,7 +61,8 @@
       log::printable(sources_.dispatcher.attemptCount()),
       log::printable(sources_.dispatcher.probeCount()),
       log::printable(sources_.pools.openedCount()), log::printable(requests.answered),
-      log::printable(requests.clientGone), log::printable(requests.answeredLate));
+      log::printable(requests.clientGone), log::printable(requests.answeredLate),
+      sources_.slowStarts.allowed(), sources_.slowStarts.sent());
 }
 
 // Logs how many client connections were closed and attempts refused, by reason, and how many
--- a/src/proxy/counters_log.h
+++ b/src/proxy/counters_log.h
@@ -12,6 +12,7 @@
 #include "pipeline/responder.h"
 #include "pipeline/statement_table.h"
 #include "proxy/endpoint_registry.h"
+#include "proxy/slow_start_log.h"
 #include "request/request_counters.h"
 #include "upstream/connection_pools.h"
 
@@ -33,6 +34,7 @@
   const EndpointIds& ids;
   const EndpointRegistry& endpoints;
   const ClientGroups& clients;
+  const SlowStartLog& slowStarts;
 };
 
 class CountersLog {
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -18,6 +18,7 @@
 constexpr Duration kResponseAssumedKnownAfter{100'000};
 constexpr double kFirstListTimeout = 2;  // connect timeouts
 constexpr Duration kCountersInterval{5'000'000};
+constexpr Duration kSlowStartLogInterval{250'000};
 constexpr double kLedgerLogTicks = 4;
 
 config::Config withAssumedKnownTimes(config::Config config) {
@@ -69,6 +70,7 @@
                        config_.knownEndpoints.version, discoveryTiming(config_.engineSettings),
                        endpointListMemory(config_)),
       reloader_(scheduler_, config_, endpointWatcher_),
+      slowStartLog_(endpointIds_),
       countersLog_({.requests = intake_.counters(),
                     .statements = statements_,
                     .attempts = attempts_,
@@ -77,7 +79,8 @@
                     .pools = pools_,
                     .ids = endpointIds_,
                     .endpoints = endpoints_,
-                    .clients = clients_}),
+                    .clients = clients_,
+                    .slowStarts = slowStartLog_}),
       shutdownRequested_(scheduler_),
       firstListReceived_(scheduler_) {
   router_.setEndpointWatcher(&endpointWatcher_);
@@ -134,6 +137,7 @@
   scheduler_.spawn(endpointWatcher_.run());
   scheduler_.spawn(shutDownOnSignal());
   scheduler_.spawn(logCounters());
+  scheduler_.spawn(logSlowStarts());
   scheduler_.spawn(endpoints_.removeExpired());
   if (ledgerLog_) scheduler_.spawn(ledgerLog_->run());
 }
@@ -195,6 +199,13 @@
   }
 }
 
+runtime::Task<> Proxy::logSlowStarts() {
+  for (;;) {
+    co_await runtime::sleepUntil(scheduler_, scheduler_.now() + kSlowStartLogInterval);
+    slowStartLog_.write(engine_.slowStarts(scheduler_.now()), scheduler_.now());
+  }
+}
+
 void Proxy::onEndpointsChanged(const discovery::EndpointList& list) {
   log::line("endpoints_updated", "version=%lld full=%d entries=%zu",
             static_cast<long long>(list.version), list.isFull, list.endpoints.size());
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -24,6 +24,7 @@
 #include "proxy/lifecycle.h"
 #include "proxy/protocols.h"
 #include "proxy/signals.h"
+#include "proxy/slow_start_log.h"
 #include "proxy/statement_intake.h"
 #include "upstream/connection_pools.h"
 
@@ -50,6 +51,7 @@
   void releaseStatements();
   runtime::Task<> shutDownOnSignal();
   runtime::Task<> logCounters();
+  runtime::Task<> logSlowStarts();
 
   config::Config config_;
   Lifecycle lifecycle_ = Lifecycle::starting;
@@ -72,6 +74,7 @@
   ClientGroups clients_;
   discovery::EndpointWatcher endpointWatcher_;
   ConfigReloader reloader_;
+  SlowStartLog slowStartLog_;
   CountersLog countersLog_;
   std::optional<LedgerLog> ledgerLog_;
   runtime::Event shutdownRequested_;
