Client: a connection that waits while accepting stops counts from when it was reported

Cause: the stop was taken for the time since when connections wait, also when the queue had not been found empty since the listener was reported as readable. Connections that were accepted rounds after that report counted as just arrived as well.

Now the report's time (or the round before it, if the process may have been held up) counts until the queue is found empty.

--- a/src/client/acceptor.cpp
+++ b/src/client/acceptor.cpp
@@ -31,8 +31,7 @@
   switch (accepted.status) {
     case runtime::AcceptStatus::accepted:
       backoff_.reset();
-      owner_.onAccepted(accepted.fd, acceptableSince_ != kNever ? acceptableSince_
-                                                                : listener_->mayBeUnreadSince());
+      owner_.onAccepted(accepted.fd, mayWaitSince());
       return true;
     case runtime::AcceptStatus::queueEmpty:
       backoff_.reset();
@@ -42,11 +41,24 @@
     default:
       log::line("accept_failed", "errno=%d exhausted=%d", accepted.error,
                 accepted.status == runtime::AcceptStatus::exhausted);
-      if (acceptableSince_ == kNever) acceptableSince_ = scheduler_.now();
+      onHeldBack();
       return true;
   }
 }
 
+// The listener is reported as readable once for all connections that wait; they may be accepted
+// several rounds later.
+TimePoint Acceptor::mayWaitSince() const {
+  if (acceptableSince_ != kNever) return acceptableSince_;
+  if (listener_->mayBeUnreadSince() != kNever) return listener_->mayBeUnreadSince();
+  return listener_->unreadSince() < scheduler_.now() ? listener_->unreadSince() : kNever;
+}
+
+void Acceptor::onHeldBack() {
+  acceptableSince_ = mayWaitSince();
+  if (acceptableSince_ == kNever) acceptableSince_ = scheduler_.now();
+}
+
 // Returns when to call accept() again after a failure. Most errors concern a single connection or
 // are momentary, and epoll reports no edge when the next call would succeed (test acceptMoment), so
 // the call is retried by time. The backoff keeps a persistent error from causing a busy loop.
@@ -63,7 +75,7 @@
   int acceptedInARow = 0;
   while (listener_->isOpen()) {
     if (std::optional<TimePoint> until = owner_.pauseUntil()) {
-      if (acceptableSince_ == kNever) acceptableSince_ = scheduler_.now();
+      onHeldBack();
       co_await listener_->readable.wait(*until);
       continue;
     }
--- a/src/client/acceptor.h
+++ b/src/client/acceptor.h
@@ -42,6 +42,11 @@
   // Calls accept() once. Returns false if the accept queue is empty; true also after an error.
   bool acceptOne();
   TimePoint retryAt();
+  // Since when a connection that is accepted now may have been waiting; kNever if it has only just
+  // arrived.
+  TimePoint mayWaitSince() const;
+  // Accepting stops although connections may be waiting.
+  void onHeldBack();
 
   runtime::Scheduler& scheduler_;
   AcceptorOwner& owner_;
--- a/tests/proxy/races_test.cpp
+++ b/tests/proxy/races_test.cpp
@@ -501,6 +501,34 @@
   }
 }
 
+// Clients that send nothing take all places while the proxy is held up, and a statement waits
+// behind them in the accept queue, where the proxy leaves it for a while: its time runs from when
+// it arrived.
+void toldAfterFullHouse() {
+  constexpr int kDeadlineMs = 3000, kSlackMs = 150, kHeldMs = 400, kMaxDescriptors = 64;
+  Drive d(1, kMaxDescriptors);
+  Client(d).ask(Client::read("a"));
+  int toldMs = 0;
+  TimePoint receivedAt;
+  d.toy.onStatement = [&](int, const std::string& text) {
+    toldMs = timeTold(text), receivedAt = d.s.now();
+  };
+  d.pass(100);  // the proxy is idle
+  d.stop();
+  std::vector<std::unique_ptr<Client>> silent;
+  for (int k = 0; k < kMaxDescriptors; ++k) silent.push_back(std::make_unique<Client>(d, false));
+  Client newcomer(d, false);
+  TimePoint sentAt = d.s.now();
+  newcomer.send(pg::startup("web", "orders") + pg::query(Client::read("b", kDeadlineMs)));
+  d.pass(kHeldMs);
+  d.resume();
+  std::string answer = newcomer.get(2);
+  Duration left = ms(kDeadlineMs) - (receivedAt - sentAt);
+  std::printf("all places were taken %s; no more told than is left %s; %s\n",
+              yes(d.logged("client_limit_reached")), yes(ms(toldMs) <= left + ms(kSlackMs)),
+              answer.c_str());
+}
+
 // The proxy sends a fatal error and closes while much of the client's data is unread: the client
 // receives the error, without a reset.
 void lastWord() {
@@ -652,6 +680,7 @@
                        {"lastWord", lastWord},
                        {"readsSlowly", readsSlowly},
                        {"toldAfterHold", toldAfterHold},
+                       {"toldAfterFullHouse", toldAfterFullHouse},
                        {"reloadAtStart", reloadAtStart},
                        {"termUnaccepted", termUnaccepted},
                        {"startsUnheard", startsUnheard},
