Soak: signals wait until a front's program can handle them

Wait status 1 is no exit code: SIGHUP's default action ended it before its first instruction, in the loader, where no program can block a signal.

The protocol allows neither: SIGHUP never comes in a program's first second, nor before it is ready; a front that ends after SIGTERM has not crashed. So the case is none of the product's. The signals are now blocked across fork and exec and stay pending, so that each of them still reaches the program, at the earliest time at which it can (what reloadAtStart tests). The oracle is unchanged.

--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -30,6 +30,24 @@
   return new (map) T{};
 }
 
+// A process inherits blocked signals: they stay pending until its program can handle them.
+// Otherwise they end it before its first instruction. The protocol sends none so early.
+class SignalsBlocked {
+ public:
+  SignalsBlocked() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (int number : {SIGTERM, SIGHUP}) sigaddset(&signals, number);
+    pthread_sigmask(SIG_BLOCK, &signals, &previous_);
+  }
+  ~SignalsBlocked() { pthread_sigmask(SIG_SETMASK, &previous_, nullptr); }
+  SignalsBlocked(const SignalsBlocked&) = delete;
+  SignalsBlocked& operator=(const SignalsBlocked&) = delete;
+
+ private:
+  sigset_t previous_;
+};
+
 }  // namespace
 
 Fleet::Fleet(FleetOptions options)
@@ -291,6 +309,7 @@
   recorder_.add({.kind = Kind::frontStarted, .front = front});
   ++f.starts;
   f.isEnding = false;
+  SignalsBlocked blocked;
   f.pid = fork();
   if (f.pid != 0) return;
   prctl(PR_SET_PDEATHSIG, SIGKILL);
