PostgreSQL stores: an empty query ahead of each further statement tells copies apart

Cause: responses don't name their statement, and the proxy looked for bytes that nobody asked for only at one moment before the next statement. Any pause between two statements only moves that moment.

Fix: on a connection that was used before, a statement goes out in one write behind an empty query, which PROTOCOL.md has stores answer at once and without effect. What comes ahead of the EmptyQueryResponse belongs to no one: it is skipped, the response behind it is served, the connection closed. Skipped errors prove nothing about the new statement.

--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -220,6 +220,8 @@
         out = row("x0=" + std::to_string(position) + ",x1=" + (store.primary ? "1" : "0") +
                   ",inflight=0") +
               pg::message('C', std::string("SHOW\0", 5)) + pg::ready();
+      } else if (text.empty()) {
+        out = pg::emptyQuery() + pg::ready();
       } else {
         bool open = co_await executeStatement(number, s, std::move(text));
         if (!open) break;
--- a/src/codec/pg/messages.cpp
+++ b/src/codec/pg/messages.cpp
@@ -96,6 +96,8 @@
       return kMaxAuthenticationLength;
     case 'Z':
       return kReadyForQueryLength;
+    case 'I':
+      return kLengthSize;
     default:
       return 0;
   }
--- a/src/protocols/postgres/response_reader.cpp
+++ b/src/protocols/postgres/response_reader.cpp
@@ -12,6 +12,7 @@
 namespace pg = reedchute::pg;
 
 ResponseReader::Verdict ResponseReader::onMessage(const pg::Message& message, WallTime newest) {
+  if (!isSynchronized()) return synchronize(message, newest);
   switch (message.type) {
     case 'T':
       return advance(State::initial, State::described);
@@ -33,6 +34,35 @@
   }
 }
 
+// Until the barrier is answered, nothing is trusted: an error that precedes the answer may be a
+// copy of an earlier one, and doesn't show that this request has not run.
+ResponseReader::Verdict ResponseReader::synchronize(const pg::Message& message, WallTime newest) {
+  if (state_ == State::unsynchronized) {
+    if (message.type != 'I') return skip(message);
+    state_ = State::barrierAnswered;
+    return Verdict::drop;
+  }
+  switch (message.type) {
+    case 'S':
+      onParameter(message.payload, newest);
+      return Verdict::drop;
+    case 'N':
+      return Verdict::drop;
+    case 'Z':
+      state_ = State::initial;
+      return Verdict::drop;
+    default:
+      return Verdict::malformed;
+  }
+}
+
+// Parameters and notices may arrive at any time, so they don't count as skipped.
+ResponseReader::Verdict ResponseReader::skip(const pg::Message& message) {
+  if (message.type == 'S' || message.type == 'N') return Verdict::drop;
+  skippedBytes_ += message.whole.size();
+  return skippedBytes_ > maxSkippedBytes_ ? Verdict::malformed : Verdict::drop;
+}
+
 ResponseReader::Verdict ResponseReader::advance(State from, State to) {
   if (state_ != from) return Verdict::malformed;
   state_ = to;
--- a/src/protocols/postgres/upstream_connection.cpp
+++ b/src/protocols/postgres/upstream_connection.cpp
@@ -26,6 +26,11 @@
 constexpr const char* kDatabase = "orders";  // the same as clients use
 constexpr std::string_view kAuthenticationOk("\0\0\0\0", 4);
 
+// Precedes each further request on a connection; see ResponseReader.
+std::string barrier() {
+  return pg::query("");
+}
+
 // Encodes the request's Query with the time left at `now`, which is recorded in the request;
 // without payload, the request is a probe.
 std::string encodeQuery(UpstreamRequest& request, TimePoint now) {
@@ -38,9 +43,10 @@
 
 class Connection : public upstream::UpstreamConnection {
  public:
-  Connection(upstream::ConnectionPools& owner, int storeIndex,
+  Connection(UpstreamProtocol& protocol, upstream::ConnectionPools& owner, int storeIndex,
              request::ProtocolVersion protocolVersion, int fd)
       : UpstreamConnection(owner, storeIndex, protocolVersion),
+        protocol_(protocol),
         socket_(owner.scheduler(), fd),
         buffer_(owner.limits().maxRowBytes) {}
 
@@ -74,6 +80,7 @@
   runtime::Task<ReceiveResult> receive(pg::Message& message, TimePoint until,
                                        bool hasBegun = false);
   bool mayFollowStartup(const pg::Message& message) const;
+  runtime::Task<bool> confirmBarrier();
   runtime::Task<bool> waitForRequest();
   runtime::Task<bool> exchange();
   runtime::Task<bool> finishWriting(std::optional<std::string_view> rest);
@@ -81,11 +88,13 @@
   void onResponseFinished(const ResponseReader& reader);
   void onResponseInterrupted(ReceiveResult cause, const ResponseReader& reader);
 
+  UpstreamProtocol& protocol_;
   runtime::Socket socket_;
   MessageBuffer buffer_;
   UpstreamRequest* request_ = nullptr;
   bool isWriting_ = false;
   bool isExchanging_ = false;  // the store may have received the request
+  bool wasUsed_ = false;       // has carried a request
 };
 
 // The latest position that is plausible now. A commit's time is rounded up, and the clocks are read
@@ -185,6 +194,10 @@
 
 runtime::Task<> Connection::serve() {
   while (socket_.isOpen()) {
+    if (wasUsed_ && !protocol_.answersBarrier(store)) {
+      bool isConfirmed = co_await confirmBarrier();
+      if (!isConfirmed) break;
+    }
     if (!request_) request_ = pools.nextRequest(*this);
     if (!request_) {
       bool isAlive = co_await waitForRequest();
@@ -201,6 +214,34 @@
   }
 }
 
+// Sends an empty query between requests; false unless its response is all that the store sends. The
+// connection must not carry another request then.
+runtime::Task<bool> Connection::confirmBarrier() {
+  TimePoint until = scheduler().now() + pools.limits().connectTimeout;
+  std::string query = barrier();
+  bool isSent = co_await runtime::writeAll(socket_, query, until);
+  if (!isSent) co_return false;
+  bool isAnswered = false;
+  for (;;) {
+    pg::Message message;
+    ReceiveResult received = co_await receive(message, until);
+    if (received != ReceiveResult::message) co_return false;
+    bool isReady = message.type == 'Z';
+    bool isParameter = message.type == 'S' || message.type == 'N';
+    bool isExpected = isParameter || (isAnswered ? isReady : message.type == 'I');
+    if (!isExpected) {
+      log::line("upstream_not_reusable", "store=%d message=%c", store, message.type);
+      co_return false;
+    }
+    isAnswered = isAnswered || message.type == 'I';
+    buffer_.drop();
+    if (isReady) break;
+  }
+  buffer_.resetUnsolicitedBytes();
+  protocol_.setAnswersBarrier(store, true);
+  co_return true;
+}
+
 // Waits for a request while idle; returns false if the connection can no longer be used. The
 // store's host closes connections that have been idle for the keepalive time, and a request written
 // at that moment is lost, so the connection is closed here one connect timeout earlier.
@@ -222,7 +263,8 @@
 // longer be used.
 runtime::Task<bool> Connection::exchange() {
   UpstreamRequest* request = request_;
-  std::string query = encodeQuery(*request, scheduler().steadyNow());
+  std::string query = wasUsed_ ? barrier() : std::string();
+  query += encodeQuery(*request, scheduler().steadyNow());
   // The process may be suspended at any point, so as little as possible is done between this check
   // of the time and the write.
   if (!pools.maySend(*request)) {
@@ -237,6 +279,7 @@
   bool isUsable = co_await finishWriting(rest);
   if (isUsable) isUsable = co_await readResponse();
   isExchanging_ = false;
+  wasUsed_ = true;
   request_ = nullptr;
   pools.complete(request, request->outcome);
   co_return isUsable;
@@ -270,7 +313,8 @@
 // Reads the response and sets the request's outcome; returns false if the connection can no longer
 // be used. From here on, the store may have run the request, even if the connection fails.
 runtime::Task<bool> Connection::readResponse() {
-  ResponseReader reader(*request_);
+  auto framing = wasUsed_ ? ResponseReader::Framing::behindBarrier : ResponseReader::Framing::alone;
+  ResponseReader reader(*request_, framing, pools.limits().maxRowBytes);
   for (;;) {
     pg::Message message;
     ReceiveResult received = co_await receive(message, request_->deadline, reader.hasBegun());
@@ -287,7 +331,7 @@
         break;
       case ResponseReader::Verdict::finished:
         onResponseFinished(reader);
-        co_return true;
+        co_return !reader.hasSkipped();
       case ResponseReader::Verdict::malformed:
         onResponseInterrupted(ReceiveResult::malformed, reader);
         co_return false;
@@ -296,6 +340,7 @@
 }
 
 void Connection::onResponseFinished(const ResponseReader& reader) {
+  if (reader.hasSkipped()) log::line("upstream_unsolicited", "store=%d", store);
   buffer_.drop();
   buffer_.resetUnsolicitedBytes();
   if (reader.isComplete()) {
@@ -308,6 +353,7 @@
 // Sets the outcome of a response that ended before its ReadyForQuery.
 void Connection::onResponseInterrupted(ReceiveResult cause, const ResponseReader& reader) {
   UpstreamRequest& request = *request_;
+  if (!reader.isSynchronized()) protocol_.setAnswersBarrier(store, false);
   if (cause == ReceiveResult::malformed) {
     log::line("upstream_protocol_error", "store=%d", store);
     // Nothing in a malformed response is trusted, in particular not that the statement didn't run.
@@ -339,9 +385,16 @@
 
 }  // namespace
 
+void UpstreamProtocol::setAnswersBarrier(int store, bool answers) {
+  if (answers)
+    barrierStores_.insert(store);
+  else
+    barrierStores_.erase(store);
+}
+
 std::unique_ptr<upstream::UpstreamConnection> UpstreamProtocol::createConnection(
     upstream::ConnectionPools& pools, int store, request::ProtocolVersion version, int fd) {
-  return std::make_unique<Connection>(pools, store, version, fd);
+  return std::make_unique<Connection>(*this, pools, store, version, fd);
 }
 
 }  // namespace reedchute::protocols::postgres
--- a/tests/protocols/postgres_upstream_test.cpp
+++ b/tests/protocols/postgres_upstream_test.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <tuple>
 
 #include "codec/pg/messages.h"
 #include "drive.h"
@@ -80,15 +81,31 @@
   void runOnce() {
     scheduler.runOnce(scheduler.now() + ms(2), [] {});
   }
-  // Waits until the proxy has sent `expected`, and drops all that was received.
+  // Waits until the proxy has sent `expected`, and drops all that was received. Ends the test if it
+  // isn't sent in time.
   void waitForBytes(std::string_view expected) {
     std::string received;
-    while (received.find(expected) == std::string::npos) runOnce(), peer->read(received, 1 << 20);
+    TimePoint end = scheduler.now() + test::kWaitLimit;
+    while (received.find(expected) == std::string::npos) {
+      if (scheduler.now() >= end) throw std::runtime_error("the proxy did not send what it should");
+      runOnce();
+      peer->read(received, 1 << 20);
+    }
   }
   void waitUntilEnded() {
     for (TimePoint end = scheduler.now() + test::kWaitLimit; !hasEnded && scheduler.now() < end;)
       runOnce();
   }
+  // The store responds to a request, the first of its connection, and to the empty query that the
+  // proxy sends before it reuses the connection.
+  void completeFirstRequest(const std::string& response) {
+    peer->write(response);
+    waitUntilEnded();
+    hasEnded = false;
+    waitForBytes(pg::query(""));
+    peer->write(pg::emptyQuery() + pg::ready());
+    for (int round = 0; round < 10; ++round) runOnce();
+  }
   // The store completes the startup and receives the request.
   void receiveRequest() {
     waitForBytes("orders");
@@ -102,6 +119,7 @@
   }
   void onRequestEnded(request::UpstreamRequest& ended) override {
     hasEnded = true;
+    responseBytes = ended.response.bytes;
     std::printf("%s, role %s\n", nameOf(ended.outcome),
                 ended.role == Role::replica   ? "replica"
                 : ended.role == Role::primary ? "primary"
@@ -118,11 +136,17 @@
   request::ProtocolVersion protocolVersion = 0;
   request::UpstreamRequest* upstreamRequest = nullptr;
   bool hasEnded = false;
+  std::string responseBytes;  // of the request that ended last
 };
 
-std::string row() {
+std::string row(char value = 'x') {
   std::string described("\0\1payload\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\1", 28);
-  return pg::message('T', described) + pg::message('D', std::string("\0\1\0\0\0\1x", 7));
+  return pg::message('T', described) + pg::message('D', std::string("\0\1\0\0\0\1", 6) + value);
+}
+
+// A whole response with a row of one character.
+std::string rowResponse(char value = 'x') {
+  return row(value) + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
 }
 
 // A request is cancelled after its store has written a part of the response. The store's role must
@@ -158,9 +182,7 @@
                                     {"half a line", std::string("S\0\0", 3)}}) {
     ConnectionHarness harness;
     harness.receiveRequest();
-    harness.peer->write(row() + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready());
-    harness.waitUntilEnded();
-    harness.hasEnded = false;
+    harness.completeFirstRequest(rowResponse());
     harness.scheduler.runOnce(harness.scheduler.now(), [&] {
       harness.peer->write(bytes);
       harness.peer->close();
@@ -263,9 +285,7 @@
   harness.waitForBytes("orders");
   harness.peer->write(pg::greeting());
   harness.waitForBytes("SELECT 1");
-  harness.peer->write(row() + pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready());
-  harness.waitUntilEnded();
-  harness.hasEnded = false;
+  harness.completeFirstRequest(rowResponse());
   harness.query.text += std::string(24 << 20, ' ');
 }
 
@@ -321,10 +341,88 @@
               times <= 4 ? "yes" : "no", harness.hasEnded ? "yes" : "no");
 }
 
-const Case kCases[] = {
-    {"cancelCrosses", cancelCrosses}, {"toldLate", toldLate}, {"closesAtOnce", closesAtOnce},
-    {"endsUnseen", endsUnseen},       {"heldUp", heldUp},     {"endlessFrames", endlessFrames},
-    {"storeFaults", storeFaults}};
+// Prints the value that the client of the request that ended last is sent.
+void printValue(const ConnectionHarness& harness) {
+  std::string served = harness.responseBytes;
+  for (char value : {'a', 'b'})
+    if (served == row(value) + pg::message('C', std::string("SELECT 1\0", 9)))
+      return void(std::printf("  served: %c\n", value));
+  std::printf("  served: no value\n");
+}
+
+// Guards against serving a client the value of another statement: a second copy of a response, or
+// other bytes that no request asked for, arrive after the next request was written to the
+// connection. Only what follows the response to the empty query belongs to that request.
+void copyCrosses() {
+  const std::string barrierResponse = pg::emptyQuery() + pg::ready();
+  const std::string copyOfError = pg::error(false, "53300", "full") + pg::ready();
+  for (const auto& [what, crossing, response] :
+       {std::tuple<const char*, std::string, std::string>{"nothing", "", rowResponse('b')},
+        {"a copy", rowResponse('a'), rowResponse('b')},
+        {"two copies", rowResponse('a') + rowResponse('a'), rowResponse('b')},
+        {"half a copy", row('a'), rowResponse('b')},
+        {"a copy of an error", copyOfError, rowResponse('b')},
+        {"a parameter", pg::parameter("server_role", "reader"), rowResponse('b')},
+        {"noise", "\x01$%&", rowResponse('b')}}) {
+    ConnectionHarness harness;
+    harness.receiveRequest();
+    harness.completeFirstRequest(rowResponse('a'));
+    harness.submitRequest();
+    harness.waitForBytes("SELECT 1");
+    std::printf("%s crosses the next request: ", what);
+    harness.peer->write(crossing + barrierResponse + response);
+    harness.waitUntilEnded();
+    printValue(harness);
+    for (int round = 0; round < 10; ++round) harness.runOnce();
+    std::printf("  connections left: %zu\n", harness.pools.connectionCount());
+  }
+}
+
+// Guards against a repeated effect: a copy of a rejection that crosses a request doesn't show that
+// the request has not run.
+void rejectionCrosses() {
+  ConnectionHarness harness;
+  harness.receiveRequest();
+  harness.completeFirstRequest(rowResponse('a'));
+  harness.submitRequest();
+  harness.waitForBytes("SELECT 1");
+  std::printf("a copy of a rejection, and the connection ends: ");
+  harness.peer->write(pg::error(false, "53300", "full") + pg::ready());
+  harness.peer->close();
+  harness.waitUntilEnded();
+}
+
+// A store that answers the empty query in another way could not be told from one that sends copies,
+// so its connections carry one request each.
+void otherBarrierResponse() {
+  for (const auto& [what, response] :
+       {std::pair<const char*, std::string>{"a row", rowResponse('a')},
+        {"an error", pg::error(false, "XX000", "it went wrong") + pg::ready()},
+        {"its end", ""}}) {
+    ConnectionHarness harness;
+    harness.receiveRequest();
+    std::printf("the empty query is answered with %s: ", what);
+    harness.peer->write(rowResponse('a'));
+    harness.waitUntilEnded();
+    harness.hasEnded = false;
+    harness.waitForBytes(pg::query(""));
+    harness.peer->write(response);
+    if (response.empty()) harness.peer->close();
+    for (int round = 0; round < 10; ++round) harness.runOnce();
+    std::printf("  connections left: %zu\n", harness.pools.connectionCount());
+  }
+}
+
+const Case kCases[] = {{"copyCrosses", copyCrosses},
+                       {"rejectionCrosses", rejectionCrosses},
+                       {"otherBarrierResponse", otherBarrierResponse},
+                       {"cancelCrosses", cancelCrosses},
+                       {"toldLate", toldLate},
+                       {"closesAtOnce", closesAtOnce},
+                       {"endsUnseen", endsUnseen},
+                       {"heldUp", heldUp},
+                       {"endlessFrames", endlessFrames},
+                       {"storeFaults", storeFaults}};
 
 }  // namespace
 
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -81,6 +81,7 @@
                            ",x1=" + (control_.primary ? "1" : "0") + ",inflight=0";
       return writeAll(socket, rowMessage(report) + role() + readyMessage());
     }
+    if (text.empty()) return writeAll(socket, message('I', "") + readyMessage());
     return execute(socket, text);
   }
 
