Cassandra stores: a statement is sent again only when its given-up execution is over

Cause: many requests share a connection there. A request that was called off ended at once and left an orphaned stream; nothing counted as outstanding any more.

Fix: where another attempt may follow that must not overlap, the request stays on its connection, which takes no further ones. It ends with its response, which is used, or with the connection, which is closed as soon as all it still carries is given up. Also: what a draining connection had accepted and not begun ends at once.

--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -1,5 +1,6 @@
 #include "toy.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -242,6 +243,7 @@
     if (!sent) break;
   }
   std::erase(store.connections, &s);
+  removeSilentExecutions(s);
 }
 
 void Toy::promote(int number) {
@@ -250,6 +252,24 @@
   for (int k = 0; k < static_cast<int>(stores_.size()); ++k) notifyChange(k);
 }
 
+// The end of a connection may have arrived without having been handled yet, so the kernel is asked.
+void Toy::countOverlaps(const std::string& id) {
+  auto silent = silentExecutions_.find(id);
+  if (silent == silentExecutions_.end()) return;
+  for (const runtime::Socket* connection : silent->second) {
+    pollfd descriptor{connection->fd(), POLLRDHUP, 0};
+    if (poll(&descriptor, 1, 0) == 0) ++overlappingExecutions_;
+  }
+}
+
+void Toy::addSilentExecution(const std::string& id, const runtime::Socket& connection) {
+  silentExecutions_[id].push_back(&connection);
+}
+
+void Toy::removeSilentExecutions(const runtime::Socket& connection) {
+  for (auto& [id, connections] : silentExecutions_) std::erase(connections, &connection);
+}
+
 Toy::Execution Toy::beginExecution(int number, const std::string& id, std::string_view key,
                                    bool write, const std::string& idempotencyKey,
                                    const std::string& text) {
@@ -257,7 +277,7 @@
   Store& store = *stores_[static_cast<std::size_t>(number)];
   Execution execution;
   execution.key = key;
-  execution.behavior = behaviorFor(key, executionCounts_[id]++);
+  execution.behavior = store.isUnresponsive ? "silent" : behaviorFor(key, executionCounts_[id]++);
   execution.write = write;
   execution.isMisdirectedWrite = write && !store.primary;
   std::size_t digits = execution.behavior.find_first_of("0123456789");
@@ -270,6 +290,7 @@
     execution.behavior.resize(digits);
   }
   ++store.executions;
+  countOverlaps(id);
   onStatement(number, text);
   // Rejected statements have no effect, and neither have writes whose idempotency key was used
   // within the deduplication window.
@@ -338,6 +359,7 @@
   } else if (behavior == "break" || behavior == "die") {
     co_return false;
   } else if (behavior == "silent") {
+    addSilentExecution(std::string(f.id), s);
     while (s.isOpen()) {
       std::string rest;
       co_await s.readable.wait();
--- a/example/toy.h
+++ b/example/toy.h
@@ -46,6 +46,9 @@
   int effects(const std::string& keyOrId) const {
     return effects_.contains(keyOrId) ? effects_.at(keyOrId) : 0;
   }
+  // Number of executions that began while an earlier one of the same statement was out: not
+  // answered, and its connection open.
+  int overlappingExecutions() const { return overlappingExecutions_; }
   // Starts the endpoint list service on `port` (0: chosen by the system) and returns the port.
   std::uint16_t serveList(std::uint16_t port = 0);
 
@@ -62,6 +65,10 @@
   void closeBusy(int store);
   // While held, a store accepts connections but doesn't answer their startup messages.
   void hold(int store, bool held);
+  // An unresponsive store never answers the statements that it receives.
+  void setUnresponsive(int store, bool isUnresponsive) {
+    stores_[static_cast<std::size_t>(store)]->isUnresponsive = isUnresponsive;
+  }
   // Whether a held store has received a startup message.
   bool holdsGreeting(int store) const {
     return stores_[static_cast<std::size_t>(store)]->holdsGreeting;
@@ -110,7 +117,7 @@
     std::uint16_t port = 0, cqlPort = 0;
     std::string host = "127.0.0.1", id;
     int group = 0;
-    bool primary = false, held = false, holdsGreeting = false;
+    bool primary = false, held = false, holdsGreeting = false, isUnresponsive = false;
     std::string state = "up";
     std::int64_t startedMs = 0;
     int executions = 0, prepareCount = 0;
@@ -132,6 +139,12 @@
   runtime::Task<> serveStore(int store, std::unique_ptr<runtime::Socket> s);
   runtime::Task<bool> executeStatement(int store, runtime::Socket& s, std::string text);
   // How to handle one execution of a statement, according to the words of its key.
+  // Counts overlaps of an execution that begins now with silent ones of the same statement.
+  void countOverlaps(const std::string& id);
+  // The execution is never answered.
+  void addSilentExecution(const std::string& id, const runtime::Socket& connection);
+  void removeSilentExecutions(const runtime::Socket& connection);
+
   struct Execution {
     std::string behavior, key;
     std::int64_t argument = 0;                       // number after the word
@@ -164,6 +177,9 @@
   std::int64_t version_ = 1;
   std::vector<runtime::Event*> watchers_;
   std::vector<runtime::Socket*> listConnections_;
+  std::map<std::string, std::vector<const runtime::Socket*>>
+      silentExecutions_;  // connections, by id
+  int overlappingExecutions_ = 0;
   std::map<std::string, int> executionCounts_;    // by the id of the statement
   std::map<std::string, int> effects_;            // by idempotency key or id of the write
   std::map<std::string, TimePoint> effectTimes_;  // time of the last effect, by idempotency key
--- a/example/toy_cql.cpp
+++ b/example/toy_cql.cpp
@@ -136,6 +136,7 @@
   } else if (behavior == "break" || behavior == "die") {
     connection->socket->close();
   } else if (behavior == "silent") {
+    addSilentExecution(request.id, *connection->socket);
   } else if (behavior == "half") {
     std::string whole;
     connection->framing.put(whole, true, connection->version, 0, request.stream,
@@ -317,6 +318,7 @@
     if (got == runtime::Socket::ReadStatus::noData) co_await s.readable.wait();
   }
   std::erase(store.connections, &s);
+  removeSilentExecutions(s);
   s.close();
 }
 
--- a/src/pipeline/attempt_reporter.cpp
+++ b/src/pipeline/attempt_reporter.cpp
@@ -27,6 +27,10 @@
   return isProbe(request) || statements_.at(request.statement).isOpen;
 }
 
+bool AttemptReporter::mayOutliveRequest(const request::UpstreamRequest& request) const {
+  return settings_.allowsHedging || !isWanted(request);
+}
+
 bool AttemptReporter::maySend(const request::UpstreamRequest& request, TimePoint now) {
   if (isProbe(request)) return gate_.maySendProbe(request, now);
   return gate_.maySendAttempt(request, statements_.at(request.statement), now);
--- a/src/pipeline/attempt_reporter.h
+++ b/src/pipeline/attempt_reporter.h
@@ -27,10 +27,12 @@
         responder_(responder),
         statements_(statements),
         rounds_(rounds),
+        settings_(settings),
         gate_(guard, settings),
         check_(guard, settings) {}
 
   bool isWanted(const request::UpstreamRequest& request) const override;
+  bool mayOutliveRequest(const request::UpstreamRequest& request) const override;
   bool maySend(const request::UpstreamRequest& request, TimePoint now) override;
   void onRequestEnded(request::UpstreamRequest& request) override;
 
@@ -52,6 +54,7 @@
   Responder& responder_;
   StatementTable& statements_;
   RoundTrigger& rounds_;
+  const EngineSettings& settings_;
   SendGate gate_;
   SentAttemptCheck check_;
 };
--- a/src/protocols/cassandra/upstream_connection.cpp
+++ b/src/protocols/cassandra/upstream_connection.cpp
@@ -117,7 +117,10 @@
   bool writeQueued(TimePoint now);
   runtime::Task<> writeRest();
 
+  bool isGivenUp(const Streams::Stream& stream, TimePoint now) const;
+  bool carriesOnlyGivenUp(TimePoint now) const;
   void endExpiredOrCancelled(TimePoint now);
+  void endIncoming();
   void complete(int stream, AttemptOutcome outcome, bool responseMayCome);
   void completeAll();
   AttemptOutcome outcomeAtClose(const Streams::Stream& stream) const;
@@ -343,12 +346,39 @@
   return next;
 }
 
-// Completes requests whose deadline has passed or that were cancelled.
+// Whether the request was cancelled, but has to stay on the connection until its response arrives
+// or the connection is closed: a store executes what it has received as long as the connection is
+// open, and the statement may be sent to another store as soon as the request ends.
+bool Connection::isGivenUp(const Streams::Stream& stream, TimePoint now) const {
+  const UpstreamRequest& request = *stream.request;
+  return request.isCancelled && request.deadline > now && stream.state == Streams::State::sent &&
+         !pools.mayOutliveRequest(request);
+}
+
+// Whether a request was given up, and closing the connection ends no execution that is still waited
+// for.
+bool Connection::carriesOnlyGivenUp(TimePoint now) const {
+  bool hasGivenUp = false;
+  for (int stream : streams_.streamsWithRequest()) {
+    const Streams::Stream& entry = streams_.at(stream);
+    if (entry.state != Streams::State::sent) continue;
+    if (!isGivenUp(entry, now)) return false;
+    hasGivenUp = true;
+  }
+  return hasGivenUp;
+}
+
+// Completes requests whose deadline has passed or that were cancelled. The connection takes no
+// further requests once one of its requests is given up.
 void Connection::endExpiredOrCancelled(TimePoint now) {
   for (int stream : streams_.streamsWithRequest()) {
     const Streams::Stream& entry = streams_.at(stream);
     const UpstreamRequest& request = *entry.request;
     if (!request.isCancelled && request.deadline > now) continue;
+    if (isGivenUp(entry, now)) {
+      drain();
+      continue;
+    }
     // A request that is queued for writing counts as sent, as it can't be withdrawn. A request
     // whose text was only being prepared never ran, so it must not end as a timeout, which means
     // that it may have run.
@@ -380,6 +410,10 @@
 void Connection::completeAll() {
   for (int stream : streams_.streamsWithRequest())
     complete(stream, outcomeAtClose(streams_.at(stream)), false);
+  endIncoming();
+}
+
+void Connection::endIncoming() {
   while (!incoming_.empty()) {
     UpstreamRequest* request = incoming_.back();
     incoming_.pop_back();
@@ -437,7 +471,7 @@
     request.report = {};
   }
   setResponse(request, frame, static_cast<std::uint8_t>(frame.flags & ~cql::kCompressed));
-  complete(stream, request.isCancelled ? AttemptOutcome::cancelled : outcome, false);
+  complete(stream, outcome, false);
 }
 
 // No part of a malformed response can be trusted, so a statement that was sent may have run.
@@ -562,6 +596,7 @@
 // the kernel hasn't accepted yet.
 bool Connection::shouldClose(TimePoint now) const {
   if (isIdle() && (isDraining_ || streams_.isUsedUp() || idleLimit() <= now)) return true;
+  if (isDraining_ && carriesOnlyGivenUp(now)) return true;
   return isDraining_ && isWriting_ && drainLimit() <= now;
 }
 
@@ -584,6 +619,7 @@
     bool hadRequests = streams_.requestCount() > 0;
     if (!readFrames(now) || isBroken_) break;
     endExpiredOrCancelled(now);
+    if (isDraining_) endIncoming();
     resumeParkedRequests();
     startNewRequests();
     if (!writeQueued(now)) break;
--- a/src/upstream/connection_pools.h
+++ b/src/upstream/connection_pools.h
@@ -65,6 +65,11 @@
   // Whether the request is still to be written. Its statement may have ended while it was waiting
   // for a connection.
   bool isStillWanted(const UpstreamRequest& request) const;
+  // Whether the store may go on executing the request after the request has ended. If not, the
+  // request may only end with its response or once its connection is closed.
+  bool mayOutliveRequest(const UpstreamRequest& request) const {
+    return owner_.mayOutliveRequest(request);
+  }
   // Whether the request may be written now; records the time as its first write if so. To be called
   // immediately before the write.
   bool maySend(UpstreamRequest& request);
--- a/tests/protocols/postgres_upstream_test.cpp
+++ b/tests/protocols/postgres_upstream_test.cpp
@@ -114,6 +114,7 @@
   }
 
   bool isWanted(const request::UpstreamRequest&) const override { return true; }
+  bool mayOutliveRequest(const request::UpstreamRequest&) const override { return true; }
   bool maySend(const request::UpstreamRequest& candidate, TimePoint now) override {
     return candidate.sendBy > now && candidate.deadline > now && !candidate.isCancelled;
   }
--- a/tests/protocols/protocol_parity_test.cpp
+++ b/tests/protocols/protocol_parity_test.cpp
@@ -275,6 +275,38 @@
   scenario.run(*client, "a read meanwhile", kRead);
 }
 
+// Guards against two executions of a statement at once where the settings allow none: a read is
+// given up at a store that answers nothing, and sent to another one. The execution at the first
+// store must be over by then, which it isn't while its connection is open.
+void givenUpAtUnresponsiveStore(Scenario& scenario) {
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int k = 0; k < 8; ++k) clients.push_back(scenario.newClient());
+  auto readOnAll = [&](int rounds) {
+    int completed = 0;
+    for (int k = 0; k < rounds; ++k) {
+      for (auto& client : clients) client->send({.key = "slow20"});
+      for (auto& client : clients) completed += client->waitForOutcome() == "completed";
+    }
+    return completed;
+  };
+  scenario.record("before: " + std::to_string(readOnAll(10)) + " of 80");
+  scenario.drive.toy.setUnresponsive(1, true);
+  int before = scenario.drive.toy.executions(1);
+  int completed = readOnAll(8);
+  bool wasGivenUp = scenario.drive.toy.executions(1) > before;
+  scenario.drive.toy.setUnresponsive(1, false);
+  scenario.record("one store answers nothing: " + std::to_string(completed) + " of 64");
+  scenario.record(std::string("it was sent some: ") + (wasGivenUp ? "yes" : "no"));
+  scenario.record("two executions out at once: " +
+                  std::to_string(scenario.drive.toy.overlappingExecutions()));
+  scenario.record("afterwards: " + std::to_string(readOnAll(2)) + " of 16");
+}
+
+void runWithoutHedging(Script script, int stores) {
+  test::edits.emplace_back(R"("parallel_tries":true)", R"("parallel_tries":false)");
+  runInAllProtocols(script, stores);
+}
+
 void allStoresOverloaded(Scenario& scenario) {
   auto client = scenario.newClient();
   scenario.run(*client, "a read", {.key = "full"});
@@ -408,6 +440,7 @@
     {"bothBreaks", [] { runInAllProtocols(connectionBreaks, 3); }},
     {"bothSpoilt", [] { runInAllProtocols(malformedResponses, 3); }},
     {"bothSilent", [] { runInAllProtocols(unresponsiveStore, 3); }},
+    {"bothGivenUp", [] { runWithoutHedging(givenUpAtUnresponsiveStore, 3); }},
     {"bothFull", [] { runInAllProtocols(allStoresOverloaded, 3); }},
     {"bothDrains", [] { runInAllProtocols(drain, 3); }},
     {"bothDrainsQueued", [] { runInAllProtocols(drainWithQueue, 3); }},
