--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -495,6 +495,26 @@
   Client(d).asks("a row of 300 KB", Client::read("big300000"));
 }
 
+// Guards against a second effect: a client leaves while a store executes its non-idempotent
+// statement, and the statement comes again under the same id.
+void comesAgain() {
+  Drive d(3);
+  const std::string statement = pg::query(
+      "INSERT INTO entries (ref, payload) VALUES ('slow300', '\\x9f') RETURNING payload "
+      "/* id=again,c=once,d=3000,cluster=7 */");
+  auto first = std::make_unique<Client>(d);
+  first->send(statement);
+  d.until("the primary has it", [&] { return d.toy.effects("again") > 0; });
+  first->socket->close();
+  d.pass(50);
+  Client second(d);
+  second.send(statement);
+  second.get();
+  d.pass(500);
+  std::printf("a statement comes again after its client has left: effects %d\n",
+              d.toy.effects("again"));
+}
+
 // Guards against the process exceeding its memory limit while many clients stop in a long
 // statement: what each of them has sent is bounded before it is read, and freed before its
 // connection ends.
@@ -533,6 +553,7 @@
                        {"passing", passing},
                        {"memory", memory},
                        {"memoryOfHalves", memoryOfHalves},
+                       {"comesAgain", comesAgain},
                        {"toldAnyway", toldAnyway}};
 
 }  // namespace
